Thin whole path: one daemon, one engine, one plain service, one manifest

The whole path is covered by TestWholePath, which runs the daemon and the stand-ins and checks a streamed and a plain call.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GO ?= go
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS = -X github.com/lagoonmux/lagoonmux/internal/version.Version=$(VERSION)
+
+.PHONY: build test lint figures unit generate demo
+
+build: ## programs into bin/
+	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
+
+test: lint figures unit ## everything that decides a verdict
+
+lint:
+	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+figures: ## size rules of the tree, where their tool is at hand
+	@if [ -x ../shared/tools/tree-figures ]; then ../shared/tools/tree-figures; else echo "tree-figures: not at hand, skipped"; fi
+
+unit:
+	$(GO) tool gotestsum --format pkgname -- -race -count=1 ./...
+
+demo: build ## the main job on loopback; fails unless every outcome is right
+	bin/lagoonstand demo
--- /dev/null
+++ b/cmd/lagoonmux/main.go
@@ -0,0 +1,47 @@
+// Command lagoonmux is the daemon that stands between callers and upstreams.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/lagoonmux/lagoonmux/internal/daemon"
+	"github.com/lagoonmux/lagoonmux/internal/obs"
+	"github.com/lagoonmux/lagoonmux/internal/settings"
+	"github.com/lagoonmux/lagoonmux/internal/version"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() {
+	app := kingpin.New("lagoonmux", "Serves callers from reclaimable VMs: routes requests to upstreams by the manifest in force.")
+	app.Version(version.Version)
+	file := app.Flag("settings", "File with the settings of this VM, JSON with comments.").Short('s').Required().String()
+	check := app.Flag("check", "Validate the settings and exit.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	s, err := settings.Load(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if *check {
+		return
+	}
+	log := obs.NewLogger(os.Stderr, "lagoonmux", s.LogLevel)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := daemon.New(s, log).Run(ctx); err != nil {
+		log.Error("daemon failed", "error", err)
+		os.Exit(exitFailure)
+	}
+}
--- /dev/null
+++ b/internal/completion/answer.go
@@ -0,0 +1,37 @@
+package completion
+
+const (
+	objectText  = "text_completion"
+	objectChat  = "chat.completion"
+	objectChunk = "chat.completion.chunk"
+	assistant   = "assistant"
+)
+
+// NewChunk returns one event of a streamed answer. An empty finish leaves the
+// finish reason null.
+func NewChunk(id, model, text, finish string, chat bool) *Response {
+	r := &Response{ID: id, Object: objectText, Model: model, Choices: make([]Choice, 1)}
+	c := &r.Choices[0]
+	if finish != "" {
+		c.FinishReason = &finish
+	}
+	if chat {
+		r.Object = objectChunk
+		c.Delta = &Message{Role: assistant, Content: text}
+		return r
+	}
+	c.Text = text
+	return r
+}
+
+// NewAnswer returns a whole answer.
+func NewAnswer(id, model, text, finish string, chat bool, usage Usage) *Response {
+	r := NewChunk(id, model, text, finish, false)
+	r.Usage = &usage
+	if chat {
+		r.Object = objectChat
+		r.Choices[0].Text = ""
+		r.Choices[0].Message = &Message{Role: assistant, Content: text}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,127 @@
+// Package ctl implements the commands of lagoonctl against the operator port
+// of a daemon.
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/operator"
+)
+
+const callTimeout = 15 * time.Second
+
+// Exit codes of lagoonctl.
+const (
+	ExitFailure = 1
+	ExitInvalid = 2 // the manifest violates a rule
+	ExitReach   = 3 // the daemon could not be reached
+)
+
+// Error is a failed command with its exit code.
+type Error struct {
+	Code  int
+	Cause error
+}
+
+// Error returns the cause's text.
+func (e *Error) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// ExitCode returns the exit code for err.
+func ExitCode(err error) int {
+	var ce *Error
+	if errors.As(err, &ce) {
+		return ce.Code
+	}
+	return ExitFailure
+}
+
+// Client calls one daemon and prints to out.
+type Client struct {
+	address string
+	out     io.Writer
+	http    fasthttp.Client
+}
+
+// New returns a client of the daemon whose operator port is at address.
+func New(address string, out io.Writer) *Client {
+	return &Client{address: address, out: out}
+}
+
+// Validate checks a manifest file without calling a daemon.
+func (c *Client) Validate(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read manifest")
+	}
+	if _, err := manifest.Parse(path, data); err != nil {
+		return &Error{Code: ExitInvalid, Cause: err}
+	}
+	fmt.Fprintln(c.out, "valid")
+	return nil
+}
+
+// Apply puts a manifest file in force.
+func (c *Client) Apply(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read manifest")
+	}
+	var applied operator.Applied
+	uri := operator.ManifestPath + "?file=" + path
+	if err := c.call(fasthttp.MethodPost, uri, data, &applied); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "generation=%d\n", applied.Generation)
+	return nil
+}
+
+// Manifest prints the manifest in force.
+func (c *Client) Manifest() error {
+	var m json.RawMessage
+	if err := c.call(fasthttp.MethodGet, operator.ManifestPath, nil, &m); err != nil {
+		return err
+	}
+	fmt.Fprintln(c.out, string(m))
+	return nil
+}
+
+// call sends one request and decodes the answer into v.
+func (c *Client) call(method, uri string, body []byte, v any) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.address + uri)
+	req.SetBody(body)
+	if err := c.http.DoTimeout(req, resp, callTimeout); err != nil {
+		return &Error{Code: ExitReach, Cause: errors.Wrapf(err, "call %s", c.address)}
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return failure(resp)
+	}
+	return errors.Wrap(json.Unmarshal(resp.Body(), v), "decode answer")
+}
+
+func failure(resp *fasthttp.Response) error {
+	var f operator.Failure
+	if err := json.Unmarshal(resp.Body(), &f); err != nil || f.Error == "" {
+		return errors.Errorf("status %d: %s", resp.StatusCode(), resp.Body())
+	}
+	code := ExitFailure
+	if resp.StatusCode() == fasthttp.StatusUnprocessableEntity {
+		code = ExitInvalid
+	}
+	return &Error{Code: code, Cause: errors.New(f.Error)}
+}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,118 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/ctl"
+	"github.com/lagoonmux/lagoonmux/internal/daemon"
+	"github.com/lagoonmux/lagoonmux/internal/settings"
+	"github.com/lagoonmux/lagoonmux/internal/standin"
+)
+
+const key = "test-editors-key"
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// start runs one daemon with one engine and one plain service and returns its
+// caller address.
+func start(t *testing.T) string {
+	t.Helper()
+	m := fmt.Sprintf(`{
+	"services": [
+		{"name": "fortune", "kind": "model", "target": {"total_ms": 5000}},
+		{"name": "orders", "kind": "plain", "target": {"total_ms": 2000}, "routes": [{"method": "POST", "path": "/orders"}]}],
+	"upstreams": [
+		{"name": "e1", "service": "fortune", "address": %q, "zone": "a", "vm_class": "g", "slots": 4},
+		{"name": "d1", "service": "orders", "address": %q, "zone": "a", "vm_class": "g", "slots": 4}],
+	"customers": [{"name": "editors", "key": %q, "weight": 1, "requests_per_second": 9, "tokens_per_second": 900, "concurrency": 9}],
+	"vm_classes": [{"name": "g", "on_demand_per_hour": 2, "reclaimable_per_hour": 1}]}`,
+		freeAddress(t), freeAddress(t), key)
+	path := filepath.Join(t.TempDir(), "manifest.json")
+	assert.NilError(t, os.WriteFile(path, []byte(m), 0o600))
+
+	s := &settings.Settings{Name: "d", Zone: "a", Caller: freeAddress(t), Operator: freeAddress(t), Peer: freeAddress(t)}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 2)
+	go func() { done <- standin.Serve(ctx, path) }()
+	go func() { done <- daemon.New(s, hclog.NewNullLogger()).Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		for range 2 {
+			assert.Check(t, <-done)
+		}
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := ctl.New(s.Operator, io.Discard).Apply(path); err != nil {
+			return poll.Continue("apply: %v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+	return s.Caller
+}
+
+func post(t *testing.T, url, body string, header http.Header) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewBufferString(body))
+	assert.NilError(t, err)
+	req.Header = header.Clone()
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp, string(data)
+}
+
+func TestWholePath(t *testing.T) {
+	caller := start(t)
+
+	t.Run("streamed answer is whole and in order", func(t *testing.T) {
+		resp, body := post(t, "http://"+caller+completion.Path, `{"model":"fortune","prompt":"hello","max_tokens":5,"stream":true}`, http.Header{})
+		assert.Equal(t, resp.StatusCode, 200, body)
+		assert.Equal(t, resp.Header.Get("Lagoonmux-Outcome"), "answered")
+		for i := range 5 {
+			assert.Assert(t, strings.Contains(body, fmt.Sprintf("id: %d\n", i)), body)
+			assert.Assert(t, strings.Contains(body, completion.WordAt("hello", i)), body)
+		}
+		assert.Assert(t, strings.HasSuffix(body, "data: [DONE]\n\n"), body)
+	})
+	t.Run("plain call that may not be repeated needs a key", func(t *testing.T) {
+		resp, _ := post(t, "http://"+caller+"/svc/orders/orders", `{}`, http.Header{})
+		assert.Equal(t, resp.StatusCode, 400)
+		assert.Equal(t, resp.Header.Get("Lagoonmux-Outcome"), "not-run")
+	})
+	t.Run("plain call with a key runs once", func(t *testing.T) {
+		resp, body := post(t, "http://"+caller+"/svc/orders/orders", `{}`, http.Header{"Idempotency-Key": {"k1"}})
+		assert.Equal(t, resp.StatusCode, 200, body)
+		assert.Assert(t, strings.Contains(body, `"run":1`), body)
+	})
+	t.Run("unknown customer is refused", func(t *testing.T) {
+		resp, err := http.Post("http://"+caller+completion.Path, "application/json", strings.NewReader("{}"))
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, 401)
+	})
+}
--- /dev/null
+++ b/internal/entry/api.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+)
+
+// Headers of requests and answers.
+const (
+	HeaderRequestID      = "Lagoonmux-Request-Id"
+	HeaderOutcome        = "Lagoonmux-Outcome"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestTimeout = "Request-Timeout"
+	HeaderRetryAfter     = "Retry-After"
+)
+
+const (
+	servicePrefix  = "/svc/"
+	maxTimeout     = time.Hour
+	defaultRetryIn = time.Second
+)
+
+// Backend runs calls. Implementations may be called from any goroutine and
+// return *call.Error.
+type Backend interface {
+	Stream(ctx context.Context, c *call.Call, sink call.Sink) error
+	Plain(ctx context.Context, c *call.Call) (*call.Reply, error)
+}
+
+// API maps HTTP requests to calls.
+type API struct {
+	manifests *manifest.Current
+	backend   Backend
+	ready     func() bool
+}
+
+// NewAPI returns an API that runs calls by backend under the manifest in force.
+func NewAPI(manifests *manifest.Current, backend Backend, ready func() bool) *API {
+	return &API{manifests: manifests, backend: backend, ready: ready}
+}
+
+// requestError is a request that is refused before it becomes a call.
+type requestError struct {
+	status int
+	text   string
+}
+
+func (e *requestError) Error() string { return e.text }
+
+func refuse(status int, text string) error { return &requestError{status: status, text: text} }
+
+// Serve answers one request.
+func (a *API) Serve(ctx context.Context, x *Exchange) {
+	path := string(x.Request.URI().Path())
+	switch {
+	case path == "/healthz":
+		x.respondText(fasthttp.StatusOK, "ok\n")
+	case path == "/readyz":
+		a.serveReady(x)
+	default:
+		a.serveCall(ctx, x, path)
+	}
+}
+
+func (a *API) serveReady(x *Exchange) {
+	if a.ready() && a.manifests.Load() != nil {
+		x.respondText(fasthttp.StatusOK, "ready\n")
+		return
+	}
+	x.respondText(fasthttp.StatusServiceUnavailable, "not ready\n")
+}
+
+func (a *API) serveCall(ctx context.Context, x *Exchange, path string) {
+	c, err := a.newCall(x)
+	if err != nil {
+		x.respondError(c, err)
+		return
+	}
+	switch {
+	case strings.HasPrefix(path, servicePrefix):
+		a.servePlain(ctx, x, c, path)
+	case modelPath(path):
+		a.serveModel(ctx, x, c, path)
+	default:
+		x.respondError(c, refuse(fasthttp.StatusNotFound, "no such path"))
+	}
+}
+
+// newCall authenticates the request and fills what all calls have in common.
+func (a *API) newCall(x *Exchange) (*call.Call, error) {
+	c := &call.Call{ID: uuid.NewString(), Arrived: x.Arrived}
+	c.Active = a.manifests.Load()
+	if c.Active == nil {
+		return c, refuse(fasthttp.StatusServiceUnavailable, "no manifest in force")
+	}
+	key, ok := strings.CutPrefix(string(x.Request.Header.Peek("Authorization")), "Bearer ")
+	if ok {
+		c.Customer = c.Active.CustomerByKey([]byte(key))
+	}
+	if c.Customer == nil {
+		return c, refuse(fasthttp.StatusUnauthorized, "unknown customer key")
+	}
+	c.IdempotencyKey = string(x.Request.Header.Peek(HeaderIdempotencyKey))
+	return c, nil
+}
+
+// setService binds the call to a service and derives its deadline.
+func setService(x *Exchange, c *call.Call, s *manifest.Service) error {
+	c.Service = s
+	c.Class = s.Class
+	if len(x.Request.Body()) > s.MaxBodyBytes {
+		return refuse(fasthttp.StatusRequestEntityTooLarge, "body exceeds the service's limit")
+	}
+	patience := time.Duration(s.Target.TotalMS) * time.Millisecond
+	if v := x.Request.Header.Peek(HeaderRequestTimeout); len(v) > 0 {
+		seconds, err := strconv.ParseFloat(string(v), 64)
+		if err != nil || !(seconds > 0) || seconds > maxTimeout.Seconds() {
+			return refuse(fasthttp.StatusBadRequest, "Request-Timeout must be a positive number of seconds up to 3600")
+		}
+		patience = time.Duration(seconds * float64(time.Second))
+	}
+	c.Deadline = c.Arrived.Add(patience)
+	return nil
+}
+
+func (a *API) servePlain(ctx context.Context, x *Exchange, c *call.Call, path string) {
+	if err := fillPlain(x, c, path); err != nil {
+		x.respondError(c, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	reply, err := a.backend.Plain(ctx, c)
+	if err != nil {
+		x.respondError(c, err)
+		return
+	}
+	resp := answered(c, reply.Status, reply.ContentType)
+	resp.SetBodyRaw(reply.Body)
+	_ = x.Respond(resp)
+}
+
+func fillPlain(x *Exchange, c *call.Call, path string) error {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(path, servicePrefix), "/")
+	s := c.Active.Service(name)
+	if s == nil || s.Kind != manifest.Plain {
+		return refuse(fasthttp.StatusNotFound, "no such service")
+	}
+	if err := setService(x, c, s); err != nil {
+		return err
+	}
+	c.Method = string(x.Request.Header.Method())
+	c.Path = "/" + rest
+	route := s.Route(c.Method, c.Path)
+	if route == nil {
+		return refuse(fasthttp.StatusNotFound, "no such route")
+	}
+	c.Class = route.Class
+	c.Repeatable = route.Repeatable
+	if !c.Repeatable && c.IdempotencyKey == "" {
+		return refuse(fasthttp.StatusBadRequest, "Idempotency-Key is required: the route may not be repeated")
+	}
+	if query := x.Request.URI().QueryString(); len(query) > 0 {
+		c.Path += "?" + string(query)
+	}
+	c.ContentType = string(x.Request.Header.ContentType())
+	c.Body = x.Request.Body()
+	return nil
+}
+
+func answered(c *call.Call, status int, contentType string) *fasthttp.Response {
+	resp := &fasthttp.Response{}
+	resp.SetStatusCode(status)
+	resp.Header.SetContentType(contentType)
+	resp.Header.Set(HeaderRequestID, c.ID)
+	resp.Header.Set(HeaderOutcome, string(call.Answered))
+	return resp
+}
+
+func (x *Exchange) respondText(status int, text string) {
+	resp := &fasthttp.Response{}
+	resp.SetStatusCode(status)
+	resp.SetBodyString(text)
+	_ = x.Respond(resp)
+}
+
+// respondError sends the status and outcome that err stands for.
+func (x *Exchange) respondError(c *call.Call, err error) {
+	resp := &fasthttp.Response{}
+	resp.Header.Set(HeaderRequestID, c.ID)
+	resp.Header.Set(HeaderOutcome, string(call.NotRun))
+	resp.SetStatusCode(fasthttp.StatusInternalServerError)
+	var re *requestError
+	if errors.As(err, &re) {
+		resp.SetStatusCode(re.status)
+	}
+	var ce *call.Error
+	if errors.As(err, &ce) {
+		resp.SetStatusCode(ce.Status)
+		resp.Header.Set(HeaderOutcome, string(ce.Outcome))
+		setRetryAfter(resp, ce)
+	}
+	resp.SetBodyString(err.Error() + "\n")
+	_ = x.Respond(resp)
+}
+
+func setRetryAfter(resp *fasthttp.Response, ce *call.Error) {
+	if ce.Outcome != call.NotRun {
+		return
+	}
+	wait := ce.RetryAfter
+	if wait <= 0 {
+		wait = defaultRetryIn
+	}
+	seconds := int((wait + time.Second - 1) / time.Second)
+	resp.Header.Set(HeaderRetryAfter, strconv.Itoa(seconds))
+}
--- /dev/null
+++ b/internal/entry/model.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/sse"
+)
+
+const (
+	defaultMaxTokens = 64
+	typeJSON         = "application/json"
+	typeEvents       = "text/event-stream"
+)
+
+func modelPath(path string) bool {
+	return path == completion.Path || path == completion.ChatPath
+}
+
+func (a *API) serveModel(ctx context.Context, x *Exchange, c *call.Call, path string) {
+	req, err := fillModel(x, c, path)
+	if err != nil {
+		x.respondError(c, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	if req.Stream {
+		a.serveStream(ctx, x, c)
+		return
+	}
+	a.serveWhole(ctx, x, c)
+}
+
+func fillModel(x *Exchange, c *call.Call, path string) (*completion.Request, error) {
+	if !x.Request.Header.IsPost() {
+		return nil, refuse(fasthttp.StatusMethodNotAllowed, "use POST")
+	}
+	c.Chat = path == completion.ChatPath
+	req, err := completion.Parse(x.Request.Body(), c.Chat)
+	if err != nil {
+		return nil, refuse(fasthttp.StatusBadRequest, err.Error())
+	}
+	s := c.Active.Service(req.Model)
+	if s == nil || s.Kind != manifest.Model {
+		return nil, refuse(fasthttp.StatusNotFound, "no such model")
+	}
+	if err := setService(x, c, s); err != nil {
+		return nil, err
+	}
+	c.Prompt = req.Text()
+	c.MaxTokens = req.MaxTokens
+	if c.MaxTokens == 0 {
+		c.MaxTokens = defaultMaxTokens
+	}
+	c.Repeatable = true
+	return req, nil
+}
+
+// collector gathers the tokens of an answer that is sent whole.
+type collector struct {
+	text   strings.Builder
+	tokens int
+	finish string
+}
+
+// Token implements call.Sink.
+func (s *collector) Token(t call.Token) error {
+	s.text.WriteString(t.Text)
+	s.tokens++
+	s.finish = t.Finish
+	return nil
+}
+
+func (a *API) serveWhole(ctx context.Context, x *Exchange, c *call.Call) {
+	sink := &collector{}
+	if err := a.backend.Stream(ctx, c, sink); err != nil {
+		x.respondError(c, err)
+		return
+	}
+	usage := completion.Usage{PromptTokens: completion.CountTokens(c.Prompt), CompletionTokens: sink.tokens}
+	body, err := json.Marshal(completion.NewAnswer(c.ID, c.Service.Name, sink.text.String(), sink.finish, c.Chat, usage))
+	if err != nil {
+		x.respondError(c, err)
+		return
+	}
+	resp := answered(c, fasthttp.StatusOK, typeJSON)
+	resp.SetBodyRaw(body)
+	_ = x.Respond(resp)
+}
+
+// streamSink writes each token to the caller as a server-sent event.
+type streamSink struct {
+	x       *Exchange
+	c       *call.Call
+	started bool
+}
+
+// Token implements call.Sink.
+func (s *streamSink) Token(t call.Token) error {
+	if !s.started {
+		s.started = true
+		if err := s.x.StartStream(answered(s.c, fasthttp.StatusOK, typeEvents)); err != nil {
+			return err
+		}
+	}
+	data, err := json.Marshal(completion.NewChunk(s.c.ID, s.c.Service.Name, t.Text, t.Finish, s.c.Chat))
+	if err != nil {
+		return err
+	}
+	return s.x.WriteChunk(sse.Append(nil, sse.Event{ID: int64(t.Index), Data: data}))
+}
+
+// serveStream answers by server-sent events. An answer that fails after its
+// first token is cut by closing the connection, never ended as if it were
+// whole.
+func (a *API) serveStream(ctx context.Context, x *Exchange, c *call.Call) {
+	sink := &streamSink{x: x, c: c}
+	err := a.backend.Stream(ctx, c, sink)
+	if err != nil && !sink.started {
+		x.respondError(c, err)
+		return
+	}
+	if err != nil {
+		return
+	}
+	if err := x.WriteChunk(sse.Append(nil, sse.Event{ID: -1, Data: []byte(sse.Done)})); err != nil {
+		return
+	}
+	_ = x.EndStream()
+}
--- /dev/null
+++ b/internal/jsonc/jsonc.go
@@ -0,0 +1,177 @@
+// Package jsonc decodes JSON with comments strictly and locates every error by
+// line, field and rule.
+//
+// It is shared by the settings and the manifest, which differ only in the Go
+// type that they decode into.
+package jsonc
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+// FieldError is one violated rule of a document.
+type FieldError struct {
+	File  string // name of the document, for messages only
+	Line  int    // 1-based; 0 when the document has no such position
+	Field string // path such as services[0].name
+	Rule  string // the rule that the value violates
+}
+
+// Error formats the violation as file:line: field: rule.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Rule)
+}
+
+// Errors lists every violated rule of a document in the order found.
+type Errors []*FieldError
+
+// Error joins the violations, one a line.
+func (e Errors) Error() string {
+	lines := make([]string, len(e))
+	for i, fe := range e {
+		lines[i] = fe.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Document is a parsed text that maps field paths back to lines.
+type Document struct {
+	file string
+	data []byte
+	root hujson.Value
+	errs Errors
+}
+
+// Decode parses data and fills into, which must be a pointer to a struct.
+// Syntax errors, unknown fields, duplicate fields, type mismatches and
+// violated validate tags are returned together as Errors.
+func Decode(file string, data []byte, into any) (*Document, error) {
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, errors.Wrapf(err, "parse %s", file)
+	}
+	d := &Document{file: file, data: data, root: root}
+	d.checkFields(&d.root, into)
+	if len(d.errs) > 0 {
+		return nil, d.errs
+	}
+	std, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return nil, errors.Wrapf(err, "parse %s", file)
+	}
+	if err := json.Unmarshal(std, into); err != nil {
+		return nil, d.typeError(err)
+	}
+	d.validate(into)
+	return d, d.Err()
+}
+
+// Reject records that the value at field violates rule.
+func (d *Document) Reject(field, format string, args ...any) {
+	d.errs = append(d.errs, &FieldError{
+		File:  d.file,
+		Line:  d.Line(field),
+		Field: field,
+		Rule:  fmt.Sprintf(format, args...),
+	})
+}
+
+// Err returns the recorded violations, or nil when there are none.
+func (d *Document) Err() error {
+	if len(d.errs) == 0 {
+		return nil
+	}
+	return d.errs
+}
+
+func (d *Document) typeError(err error) error {
+	var te *json.UnmarshalTypeError
+	if !errors.As(err, &te) {
+		return errors.Wrapf(err, "decode %s", d.file)
+	}
+	rule := fmt.Sprintf("a %s cannot be read as %s", te.Value, te.Type)
+	return Errors{{File: d.file, Line: d.lineAt(int(te.Offset)), Field: te.Field, Rule: rule}}
+}
+
+func (d *Document) validate(into any) {
+	err := structValidator.Struct(into)
+	var list validator.ValidationErrors
+	if !errors.As(err, &list) {
+		return
+	}
+	for _, fe := range list {
+		_, field, _ := strings.Cut(fe.Namespace(), ".")
+		d.Reject(field, "%s", ruleText(fe))
+	}
+}
+
+func ruleText(fe validator.FieldError) string {
+	if fe.Tag() == "required" {
+		return "is required"
+	}
+	rule := fe.Tag()
+	if fe.Param() != "" {
+		rule += "=" + fe.Param()
+	}
+	return fmt.Sprintf("value %v violates %s", fe.Value(), rule)
+}
+
+func (d *Document) lineAt(offset int) int {
+	if offset > len(d.data) {
+		offset = len(d.data)
+	}
+	return 1 + bytes.Count(d.data[:offset], []byte{'\n'})
+}
+
+// Line returns the 1-based line of the value at field, or of its closest
+// ancestor that is present.
+func (d *Document) Line(field string) int {
+	v := &d.root
+	for _, step := range splitPath(field) {
+		next := child(v, step)
+		if next == nil {
+			break
+		}
+		v = next
+	}
+	return d.lineAt(v.StartOffset)
+}
+
+func splitPath(field string) []string {
+	field = strings.ReplaceAll(field, "[", ".")
+	field = strings.ReplaceAll(field, "]", "")
+	return strings.Split(field, ".")
+}
+
+func child(v *hujson.Value, step string) *hujson.Value {
+	switch c := v.Value.(type) {
+	case *hujson.Object:
+		for i := range c.Members {
+			if memberName(&c.Members[i]) == step {
+				return &c.Members[i].Value
+			}
+		}
+	case *hujson.Array:
+		i, err := strconv.Atoi(step)
+		if err == nil && i >= 0 && i < len(c.Elements) {
+			return &c.Elements[i]
+		}
+	}
+	return nil
+}
+
+func memberName(m *hujson.ObjectMember) string {
+	lit, ok := m.Name.Value.(hujson.Literal)
+	if !ok {
+		return ""
+	}
+	return lit.String()
+}
--- /dev/null
+++ b/internal/manifest/active.go
@@ -0,0 +1,69 @@
+package manifest
+
+import "sync/atomic"
+
+// Active is a manifest in force, with lookups by name. It is immutable.
+type Active struct {
+	Generation int64 // 0 before any manifest is accepted
+	*Manifest
+
+	services  map[string]*Service
+	customers map[string]*Customer // by key
+}
+
+// NewActive indexes m as the manifest of the given generation.
+func NewActive(generation int64, m *Manifest) *Active {
+	a := &Active{
+		Generation: generation,
+		Manifest:   m,
+		services:   make(map[string]*Service, len(m.Services)),
+		customers:  make(map[string]*Customer, len(m.Customers)),
+	}
+	for i := range m.Services {
+		a.services[m.Services[i].Name] = &m.Services[i]
+	}
+	for i := range m.Customers {
+		a.customers[m.Customers[i].Key] = &m.Customers[i]
+	}
+	return a
+}
+
+// Service returns the named service, or nil.
+func (a *Active) Service(name string) *Service { return a.services[name] }
+
+// CustomerByKey returns the customer that holds key, or nil.
+func (a *Active) CustomerByKey(key []byte) *Customer { return a.customers[string(key)] }
+
+// Route returns the route of the service that covers method and path, or nil.
+func (s *Service) Route(method, path string) *Route {
+	for i := range s.Routes {
+		r := &s.Routes[i]
+		if r.Method == method && coversPath(r.Path, path) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Current holds the manifest in force of one daemon. The zero value holds none.
+// All methods may be called from any goroutine.
+type Current struct {
+	active atomic.Pointer[Active]
+}
+
+// Load returns the manifest in force, or nil before the first.
+func (c *Current) Load() *Active { return c.active.Load() }
+
+// Advance puts a in force unless a manifest of the same or a higher generation
+// already is. It reports whether it did.
+func (c *Current) Advance(a *Active) bool {
+	for {
+		old := c.active.Load()
+		if old != nil && old.Generation >= a.Generation {
+			return false
+		}
+		if c.active.CompareAndSwap(old, a) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/memory.go
@@ -0,0 +1,85 @@
+package platform
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+)
+
+// Memory is a Table in this process's memory. It keeps the tokens of all
+// successful commits, so that a repeated one is recognised.
+type Memory struct {
+	mu     sync.Mutex
+	rows   map[string]Row
+	tokens map[string]bool
+}
+
+// NewMemory returns an empty table.
+func NewMemory() *Memory {
+	return &Memory{rows: make(map[string]Row), tokens: make(map[string]bool)}
+}
+
+// Get implements Table.
+func (m *Memory) Get(_ context.Context, key string) (Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row, ok := m.rows[key]
+	if !ok {
+		return Row{}, ErrNotFound
+	}
+	return row, nil
+}
+
+// Scan implements Table.
+func (m *Memory) Scan(_ context.Context, partition, after string, limit int) ([]Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	prefix := partition + "/"
+	var found []Row
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) && key > prefix+after {
+			found = append(found, row)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	if len(found) > limit {
+		found = found[:limit]
+	}
+	return found, nil
+}
+
+// Commit implements Table.
+func (m *Memory) Commit(_ context.Context, token string, writes []Write) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.tokens[token] {
+		return nil
+	}
+	if err := m.checkAll(writes); err != nil {
+		return err
+	}
+	m.tokens[token] = true
+	for _, w := range writes {
+		m.apply(w)
+	}
+	return nil
+}
+
+func (m *Memory) checkAll(writes []Write) error {
+	for _, w := range writes {
+		if w.Version != AnyVersion && m.rows[w.Key].Version != w.Version {
+			return ErrConflict
+		}
+	}
+	return nil
+}
+
+func (m *Memory) apply(w Write) {
+	if w.Delete {
+		delete(m.rows, w.Key)
+		return
+	}
+	next := m.rows[w.Key].Version + 1
+	m.rows[w.Key] = Row{Key: w.Key, Version: next, Value: w.Value}
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,33 @@
+package settings
+
+import (
+	"net"
+
+	"github.com/lagoonmux/lagoonmux/internal/jsonc"
+)
+
+// check applies the rules that concern more than one field.
+func (s *Settings) check(doc *jsonc.Document) {
+	s.checkListener(doc, "operator_address", s.Operator)
+	s.checkListener(doc, "peer_address", s.Peer)
+	if s.Operator == s.Peer || s.Operator == s.Caller || s.Peer == s.Caller {
+		doc.Reject("caller_address", "caller, operator and peer addresses must differ")
+	}
+}
+
+// checkListener refuses an address beyond loopback that has no TLS.
+func (s *Settings) checkListener(doc *jsonc.Document, field, address string) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		doc.Reject(field, "%v", err)
+		return
+	}
+	ip := net.ParseIP(host)
+	if ip == nil {
+		doc.Reject(field, "host must be an IP number")
+		return
+	}
+	if s.TLS == nil && !ip.IsLoopback() {
+		doc.Reject(field, "an address beyond loopback requires tls")
+	}
+}
--- /dev/null
+++ b/internal/sse/sse.go
@@ -0,0 +1,78 @@
+// Package sse reads and writes server-sent events, as far as the completions
+// calls use them: an id and one line of data an event.
+package sse
+
+import (
+	"bufio"
+	"bytes"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Done is the data of the event that ends a stream of completions.
+const Done = "[DONE]"
+
+// Event is one server-sent event.
+type Event struct {
+	ID   int64  // -1 when the event has none
+	Data []byte // valid until the next read
+}
+
+// Append appends the event to buf in wire form and returns the result.
+func Append(buf []byte, e Event) []byte {
+	if e.ID >= 0 {
+		buf = append(buf, "id: "...)
+		buf = strconv.AppendInt(buf, e.ID, 10)
+		buf = append(buf, '\n')
+	}
+	buf = append(buf, "data: "...)
+	buf = append(buf, e.Data...)
+	return append(buf, "\n\n"...)
+}
+
+// Reader reads events from a stream. It is not safe for concurrent use.
+type Reader struct {
+	r    *bufio.Reader
+	data []byte
+}
+
+// NewReader returns a Reader on r.
+func NewReader(r *bufio.Reader) *Reader { return &Reader{r: r} }
+
+// Next returns the next event, or the error of the underlying reader. A line
+// longer than the reader's buffer is an error.
+func (r *Reader) Next() (Event, error) {
+	e := Event{ID: -1}
+	r.data = r.data[:0]
+	for {
+		line, err := r.r.ReadSlice('\n')
+		if err != nil {
+			return Event{}, errors.Wrap(err, "read event")
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 && len(r.data) > 0 {
+			e.Data = r.data
+			return e, nil
+		}
+		if err := r.field(&e, line); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+func (r *Reader) field(e *Event, line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "data":
+		r.data = append(r.data, value...)
+	case "id":
+		id, err := strconv.ParseInt(string(value), 10, 64)
+		if err != nil {
+			return errors.Wrap(err, "event id")
+		}
+		e.ID = id
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,55 @@
+// Package standin serves the stand-ins for the outside systems of a
+// deployment: one HTTP server for each upstream of a manifest.
+package standin
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/standin/engine"
+	"github.com/lagoonmux/lagoonmux/internal/standin/plain"
+)
+
+const (
+	defaultPrefillPerMS = 10
+	defaultDecode       = 10 * time.Millisecond
+)
+
+// Serve serves the upstreams of the manifest in the named file until ctx ends.
+func Serve(ctx context.Context, path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read manifest")
+	}
+	m, err := manifest.Parse(path, text)
+	if err != nil {
+		return err
+	}
+	g, gctx := errgroup.WithContext(ctx)
+	for i := range m.Upstreams {
+		u := &m.Upstreams[i]
+		g.Go(func() error { return listen(gctx, u.Address, handler(m, u)) })
+	}
+	return g.Wait()
+}
+
+func handler(m *manifest.Manifest, u *manifest.Upstream) fasthttp.RequestHandler {
+	if manifest.NewActive(0, m).Service(u.Service).Kind == manifest.Plain {
+		return plain.NewCounter().Handle
+	}
+	return engine.New(engine.Timing{PrefillPerMS: defaultPrefillPerMS, Decode: defaultDecode}).Handle
+}
+
+// listen serves address until ctx ends.
+func listen(ctx context.Context, address string, h fasthttp.RequestHandler) error {
+	s := &fasthttp.Server{Handler: h, Name: "lagoonstand"}
+	stop := context.AfterFunc(ctx, func() { _ = s.Shutdown() })
+	defer stop()
+	return errors.Wrapf(s.ListenAndServe(address), "listen at %s", address)
+}
