Joints for the parts: router, admission, trace, prefix blocks

The parts are built side by side, so what they meet at comes first: a Router whose attempts report back, an Admitter before dispatch, a bounded trace on each call, and block hashes that engines and routers agree on.

Ruled out: a picker handed to dispatch directly; it gave feedback no way back.

--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -11,26 +11,32 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/lagoonmux/lagoonmux/internal/standin"
 	"github.com/lagoonmux/lagoonmux/internal/version"
 )
 
+// command is one subcommand: its kingpin clause and what runs it.
+type command struct {
+	clause *kingpin.CmdClause
+	run    func(ctx context.Context) error
+}
+
 func main() {
 	app := kingpin.New("lagoonstand", "Stand-ins for model engines, plain services and the platform, and a load of callers.")
 	app.Version(version.Version)
-	serve := app.Command("serve", "Serve the stand-ins until SIGTERM.")
-	manifestFile := serve.Flag("manifest", "Manifest whose upstreams are served.").Required().String()
-	command := kingpin.MustParse(app.Parse(os.Args[1:]))
-
+	commands := []command{
+		serveCommand(app),
+	}
+	selected := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	var err error
-	switch command {
-	case serve.FullCommand():
-		err = standin.Serve(ctx, *manifestFile)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	for _, c := range commands {
+		if c.clause.FullCommand() != selected {
+			continue
+		}
+		if err := c.run(ctx); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			stop()
+			os.Exit(1)
+		}
 	}
 }
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/trace"
 )
 
 // Call is one request of a customer. It is built by the entry and not changed
@@ -18,6 +19,7 @@
 	Class    manifest.Class
 	Arrived  time.Time
 	Deadline time.Time // end of the caller's patience
+	Trace    *trace.Trace
 
 	// Set for a model service.
 	Prompt    string
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,8 @@
 	"github.com/lagoonmux/lagoonmux/internal/entry"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/operator"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+	"github.com/lagoonmux/lagoonmux/internal/serve"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
 	"github.com/lagoonmux/lagoonmux/internal/upstream"
 )
@@ -26,7 +28,7 @@
 	log       hclog.Logger
 	manifests manifest.Current
 	draining  atomic.Bool
-	pickers   pickerSet
+	router    *routing.Router
 	pool      *upstream.Pool
 	entry     *entry.Server
 	operator  *operator.Server
@@ -34,9 +36,9 @@
 
 // New assembles a daemon. Nothing runs before Run.
 func New(s *settings.Settings, log hclog.Logger) *Daemon {
-	d := &Daemon{settings: s, log: log, pool: upstream.NewPool()}
-	disp := dispatch.New(d.pool, &d.pickers)
-	api := entry.NewAPI(&d.manifests, disp, d.ready)
+	d := &Daemon{settings: s, log: log, pool: upstream.NewPool(), router: routing.NewRouter()}
+	backend := serve.New(serve.Unlimited{}, dispatch.New(d.pool, d.router))
+	api := entry.NewAPI(&d.manifests, backend, d.ready)
 	d.entry = entry.NewServer(api, log.Named("entry"))
 	d.operator = operator.NewServer(d)
 	return d
@@ -74,6 +76,15 @@
 	return err
 }
 
+// allLive lists every upstream of the manifest as live.
+func allLive(a *manifest.Active) []routing.Member {
+	members := make([]routing.Member, len(a.Upstreams))
+	for i := range a.Upstreams {
+		members[i] = routing.Member{Upstream: &a.Upstreams[i]}
+	}
+	return members
+}
+
 // Apply implements operator.Control.
 func (d *Daemon) Apply(_ context.Context, file string, text []byte) (int64, error) {
 	m, err := manifest.Parse(file, text)
@@ -85,7 +96,7 @@
 		generation = a.Generation + 1
 	}
 	a := manifest.NewActive(generation, m)
-	d.pickers.rebuild(a)
+	d.router.Update(a, allLive(a))
 	d.manifests.Advance(a)
 	d.log.Info("manifest in force", "generation", generation)
 	return generation, nil
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,7 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
-	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/completion"
 	"github.com/lagoonmux/lagoonmux/internal/routing"
 	"github.com/lagoonmux/lagoonmux/internal/upstream"
 )
@@ -21,24 +21,19 @@
 	maxReplyBytes = 16 << 20
 )
 
-// Pickers returns the current picker of a service.
-type Pickers interface {
-	Picker(service string) routing.Picker
-}
-
 // Dispatcher runs calls. Its methods may be called from any goroutine.
 type Dispatcher struct {
-	pool    *upstream.Pool
-	pickers Pickers
+	pool   *upstream.Pool
+	router *routing.Router
 }
 
-// New returns a Dispatcher that chooses upstreams by pickers.
-func New(pool *upstream.Pool, pickers Pickers) *Dispatcher {
-	return &Dispatcher{pool: pool, pickers: pickers}
+// New returns a Dispatcher that chooses upstreams by router.
+func New(pool *upstream.Pool, router *routing.Router) *Dispatcher {
+	return &Dispatcher{pool: pool, router: router}
 }
 
-// pick chooses the upstream for the next attempt.
-func (d *Dispatcher) pick(c *call.Call, tried []string) (*manifest.Upstream, error) {
+// begin chooses the upstream for the next attempt.
+func (d *Dispatcher) begin(c *call.Call, tried []string) (routing.Attempt, error) {
 	req := &routing.Request{
 		Service:   c.Service.Name,
 		MaxTokens: c.MaxTokens,
@@ -47,11 +42,11 @@
 		Tried:     tried,
 		Random:    rand.Uint64(),
 	}
-	p := d.pickers.Picker(c.Service.Name)
-	if p == nil {
-		return nil, routing.ErrNoUpstream
+	if c.Prompt != "" {
+		req.Blocks = completion.Blocks(c.Prompt)
+		req.PromptTokens = completion.CountTokens(c.Prompt)
 	}
-	return p.Pick(time.Now(), req)
+	return d.router.Begin(time.Now(), req)
 }
 
 // mayRetry tells whether another attempt can do no harm after err.
@@ -83,3 +78,15 @@
 	var ue *upstream.Error
 	return !errors.As(err, &ue) || ue.Sent
 }
+
+// resultOf tells the router how an attempt ended.
+func resultOf(ctx context.Context, err error) routing.Result {
+	switch {
+	case err == nil:
+		return routing.Succeeded
+	case ctx.Err() != nil:
+		return routing.Canceled
+	default:
+		return routing.Failed
+	}
+}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -22,16 +23,18 @@
 	sent := false
 	peer := ""
 	for len(tried) < maxAttempts {
-		u, err := d.pick(c, tried)
+		a, err := d.begin(c, tried)
 		if err != nil {
 			if last == nil {
 				last = err
 			}
 			break
 		}
+		u := a.Upstream
 		peer = u.Name
 		tried = append(tried, u.Name)
 		reply, err := d.plainAttempt(ctx, c, u, len(tried) > 1)
+		a.Done(time.Now(), resultOf(ctx, err))
 		if err == nil {
 			return reply, nil
 		}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -35,16 +36,18 @@
 	sent := false
 	peer := ""
 	for len(tried) < maxAttempts {
-		u, err := d.pick(c, tried)
+		a, err := d.begin(c, tried)
 		if err != nil {
 			if last == nil {
 				last = err
 			}
 			break
 		}
+		u := a.Upstream
 		peer = u.Name
 		tried = append(tried, u.Name)
 		err = d.streamAttempt(ctx, c, u, len(tried), &ans, sink)
+		a.Done(time.Now(), resultOf(ctx, err))
 		if err == nil {
 			return nil
 		}
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -12,6 +12,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/trace"
 )
 
 // Headers of requests and answers.
@@ -97,7 +98,7 @@
 
 // newCall authenticates the request and fills what all calls have in common.
 func (a *API) newCall(x *Exchange) (*call.Call, error) {
-	c := &call.Call{ID: uuid.NewString(), Arrived: x.Arrived}
+	c := &call.Call{ID: uuid.NewString(), Arrived: x.Arrived, Trace: &trace.Trace{}}
 	c.Active = a.manifests.Load()
 	if c.Active == nil {
 		return c, refuse(fasthttp.StatusServiceUnavailable, "no manifest in force")
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,83 @@
+// Package serve takes a call through admission, the ledger and dispatch. It is
+// the entry's backend.
+package serve
+
+import (
+	"context"
+
+	"github.com/lagoonmux/lagoonmux/internal/call"
+)
+
+// Ticket is one admitted call. Done must be called once, with the tokens that
+// were generated.
+type Ticket interface {
+	Done(tokens int)
+}
+
+// Admitter decides which calls may run now. Admit waits in the customer's
+// queue until the call may run, and returns a *call.Error with outcome not-run
+// when it may not or can no longer meet its deadline.
+type Admitter interface {
+	Admit(ctx context.Context, c *call.Call) (Ticket, error)
+}
+
+// Dispatcher runs admitted calls against upstreams.
+type Dispatcher interface {
+	Stream(ctx context.Context, c *call.Call, sink call.Sink) error
+	Plain(ctx context.Context, c *call.Call) (*call.Reply, error)
+}
+
+// Backend runs calls. Its methods may be called from any goroutine.
+type Backend struct {
+	admitter   Admitter
+	dispatcher Dispatcher
+}
+
+// New returns a backend of the given parts.
+func New(admitter Admitter, dispatcher Dispatcher) *Backend {
+	return &Backend{admitter: admitter, dispatcher: dispatcher}
+}
+
+// Stream implements entry.Backend.
+func (b *Backend) Stream(ctx context.Context, c *call.Call, sink call.Sink) error {
+	t, err := b.admitter.Admit(ctx, c)
+	if err != nil {
+		return err
+	}
+	counted := &countingSink{sink: sink}
+	defer func() { t.Done(counted.tokens) }()
+	return b.dispatcher.Stream(ctx, c, counted)
+}
+
+// Plain implements entry.Backend.
+func (b *Backend) Plain(ctx context.Context, c *call.Call) (*call.Reply, error) {
+	t, err := b.admitter.Admit(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	defer t.Done(0)
+	return b.dispatcher.Plain(ctx, c)
+}
+
+// countingSink counts the tokens that pass to another sink.
+type countingSink struct {
+	sink   call.Sink
+	tokens int
+}
+
+// Token implements call.Sink.
+func (s *countingSink) Token(t call.Token) error {
+	s.tokens++
+	return s.sink.Token(t)
+}
+
+// Unlimited is an Admitter that admits every call at once.
+type Unlimited struct{}
+
+// Admit implements Admitter.
+func (Unlimited) Admit(context.Context, *call.Call) (Ticket, error) { return freeTicket{}, nil }
+
+type freeTicket struct{}
+
+// Done implements Ticket.
+func (freeTicket) Done(int) {}
