--- /dev/null
+++ b/internal/chart/check.go
@@ -0,0 +1,58 @@
+package chart
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+func (d *definition) check() error {
+	if !slices.Contains(d.States, d.Initial) {
+		return errors.Errorf("initial state %q is not listed", d.Initial)
+	}
+	if err := d.checkTransitions(); err != nil {
+		return err
+	}
+	reached := d.reachable()
+	for _, s := range d.States {
+		if !reached[s] {
+			return errors.Errorf("state %q cannot be reached", s)
+		}
+		if d.hasExit(s) == slices.Contains(d.Final, s) {
+			return errors.Errorf("state %q must be final or have a way out, and not both", s)
+		}
+	}
+	return nil
+}
+
+func (d *definition) checkTransitions() error {
+	for i, t := range d.Transitions {
+		if !slices.Contains(d.States, t.From) || !slices.Contains(d.States, t.To) {
+			return errors.Errorf("transition %s from %q to %q joins a state that is not listed", t.Event, t.From, t.To)
+		}
+		for _, u := range d.Transitions[:i] {
+			if t.From == u.From && t.Event == u.Event {
+				return errors.Errorf("state %q has two transitions for event %s", t.From, t.Event)
+			}
+		}
+	}
+	return nil
+}
+
+func (d *definition) reachable() map[State]bool {
+	reached := map[State]bool{d.Initial: true}
+	for grown := true; grown; {
+		grown = false
+		for _, t := range d.Transitions {
+			if reached[t.From] && !reached[t.To] {
+				reached[t.To] = true
+				grown = true
+			}
+		}
+	}
+	return reached
+}
+
+func (d *definition) hasExit(s State) bool {
+	return slices.ContainsFunc(d.Transitions, func(t transition) bool { return t.From == s })
+}
