--- a/internal/completion/words.go
+++ b/internal/completion/words.go
@@ -6,15 +6,29 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// WordAt returns the token that the stand-in engines generate at index for a
-// prompt. It depends on nothing else, so that a caller can check an answer
-// byte for byte.
-func WordAt(prompt string, index int) string {
-	seed := xxhash.Sum64String(prompt)
-	h := xxhash.Sum64String(strconv.FormatUint(seed, 16) + ":" + strconv.Itoa(index))
-	return " " + strconv.FormatUint(h&0xfffff, 36)
+// Words generates the answer of the stand-in engines to one prompt. The answer
+// depends on nothing else, so that a caller can check it byte for byte.
+type Words struct {
+	seed string
+}
+
+// NewWords returns the generator of the answer to prompt.
+func NewWords(prompt string) Words {
+	return Words{seed: strconv.FormatUint(xxhash.Sum64String(prompt), 16) + ":"}
 }
 
+// At returns the token at index.
+func (w Words) At(index int) string {
+	var buf [40]byte
+	b := append(buf[:0], w.seed...)
+	b = strconv.AppendInt(b, int64(index), 10)
+	return " " + strconv.FormatUint(xxhash.Sum64(b)&0xfffff, 36)
+}
+
+// WordAt returns the token that the stand-in engines generate at index for a
+// prompt.
+func WordAt(prompt string, index int) string { return NewWords(prompt).At(index) }
+
 // CountTokens estimates the tokens of a text; the stand-ins count the same.
 func CountTokens(text string) int {
 	return (len(text) + bytesPerToken - 1) / bytesPerToken
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -45,6 +45,8 @@
 	WaitingTokens int       `json:"waiting_tokens"` // prompt tokens still to prefill
 	KVUsed        int       `json:"kv_used_tokens"`
 	KVCapacity    int       `json:"kv_capacity_tokens"`
+	Leaving       bool      `json:"leaving,omitempty"`       // it will stop and takes no new work
+	LeavingInMS   int64     `json:"leaving_in_ms,omitempty"` // until it stops
 }
 
 // Router holds the pickers of all services and learns from attempts and load
--- a/internal/standin/faults/conn.go
+++ b/internal/standin/faults/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -62,6 +63,35 @@
 	return c.Conn.Write(b)
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || c.isSilent() {
+		return nil, errors.New("no raw connection")
+	}
+	return sc.SyscallConn()
+}
+
+// Gone tells whether the other side has closed its connection, without reading
+// from it.
+func Gone(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = (n == 0 && err == nil) || (err != nil && err != syscall.EAGAIN && err != syscall.EINTR)
+	})
+	return err != nil || gone
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.closeOnce.Do(func() {
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -139,6 +139,16 @@
 
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
+// Kill stops the stand-in for good, as when its VM is reclaimed. The next plan
+// starts it again.
+func (s *Set) Kill() {
+	r := &rule{Fault: Fault{Name: Kill}, begin: time.Now()}
+	s.mu.Lock()
+	s.rules = append(s.rules, r)
+	s.mu.Unlock()
+	s.strike(r)
+}
+
 // clear drops the plan in force. The caller holds the lock.
 func (s *Set) clear() {
 	for _, t := range s.timers {
