Stand-in engine: continuous batching, prefix cache, priorities, cancel, resume, KV export, orders

The first engine slept a fixed time for each token of each request. One goroutine now owns a batch that steps: a step prefills at most one chunk and decodes one token of every running request, and lasts longer the fuller the batch is. The cache holds prefix blocks within the memory that the batch leaves, and evicts the ends of prefixes first: the test found that a lookup that touched blocks front to back evicted the front first, which made the rest useless.

Answers are a body reader that fasthttp flushes chunk by chunk, so that a stream costs one goroutine; a stream writer would cost two and a pipe. A caller that closes while its request waits is found by a peek at the socket.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,80 +1,196 @@
-// Package engine is a stand-in for a model engine: it answers completions
-// calls with text that is a function of the prompt, at a rate set by a timing
-// model.
+// Package engine is a stand-in for a model engine: it batches continuously,
+// caches prompt prefixes in limited memory, honours priorities, and answers
+// with text that is a function of the prompt, at a rate set by a timing model.
+//
+// One goroutine owns the batch of an engine. Handlers send it messages, and
+// read tokens as they are emitted.
 package engine
 
 import (
-	"bufio"
-	"encoding/json"
+	"context"
+	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
+	"github.com/pkg/errors"
 
-	"github.com/lagoonmux/lagoonmux/internal/completion"
-	"github.com/lagoonmux/lagoonmux/internal/sse"
+	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
 )
 
-// Timing is the speed of an engine.
-type Timing struct {
+// Defaults of a Config.
+const (
+	defaultSlots        = 16
+	defaultPrefillPerMS = 10
+	defaultDecode       = 10 * time.Millisecond
+	defaultChunkTokens  = 512
+	defaultCacheTokens  = 64 << 10
+	defaultWaitingRatio = 16 // longest queue for each slot
+)
+
+// Config is the size and speed of an engine. Zero fields take defaults.
+type Config struct {
+	Name         string
+	Slots        int           // requests in one batch
 	PrefillPerMS float64       // prompt tokens a millisecond
-	Decode       time.Duration // between two tokens of one request
+	Decode       time.Duration // a step that decodes one request
+	BatchGrowth  float64       // by which share a full batch lengthens the step
+	ChunkTokens  int           // most prompt tokens prefilled in one step
+	CacheTokens  int           // KV memory
+	MaxWaiting   int           // longest queue; a request beyond it is refused
+	LoadLag      time.Duration // age of the load reports
+	EventLag     time.Duration // delay of the cache events
+	ChecksFence  bool          // refuses orders with an old fencing number
+	PricePerHour float64
+	Seen         *Seen // shared by the engines whose recomputed tokens count together
+}
+
+func (c *Config) setDefaults() {
+	if c.Slots == 0 {
+		c.Slots = defaultSlots
+	}
+	if c.PrefillPerMS == 0 {
+		c.PrefillPerMS = defaultPrefillPerMS
+	}
+	if c.Decode == 0 {
+		c.Decode = defaultDecode
+	}
+	if c.ChunkTokens == 0 {
+		c.ChunkTokens = defaultChunkTokens
+	}
+	if c.CacheTokens == 0 {
+		c.CacheTokens = defaultCacheTokens
+	}
+	if c.MaxWaiting == 0 {
+		c.MaxWaiting = defaultWaitingRatio * c.Slots
+	}
+	if c.Seen == nil {
+		c.Seen = NewSeen()
+	}
 }
 
 // Engine is one model engine.
 type Engine struct {
-	timing Timing
+	cfg     Config
+	set     *faults.Set
+	inbox   chan message
+	stopped chan struct{}
+	started time.Time
+	refused atomic.Int64
+	leaving atomic.Pointer[time.Time] // when it will stop; nil while it is not leaving
+	reports history
 }
 
-// New returns an engine of the given speed.
-func New(timing Timing) *Engine { return &Engine{timing: timing} }
+// message is work for the engine's task on the state that it owns.
+type message func(c *core, now time.Time)
 
-// Handle serves one request.
-func (e *Engine) Handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != completion.Path {
-		ctx.Error("no such path", fasthttp.StatusNotFound)
-		return
-	}
-	req, err := completion.Parse(ctx.PostBody(), false)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
-	}
-	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { e.stream(req, w) })
+// New returns an engine with the faults of set. Nothing runs before Run.
+func New(cfg Config, set *faults.Set) *Engine {
+	cfg.setDefaults()
+	e := &Engine{cfg: cfg, set: set, inbox: make(chan message, cfg.Slots), stopped: make(chan struct{}), started: time.Now()}
+	e.reports.lag = cfg.LoadLag
+	set.On(faults.Restart, func(faults.Fault) { e.restart() })
+	set.On(faults.Leave, func(f faults.Fault) { e.leave(f.Delay()) })
+	return e
 }
 
-func (e *Engine) stream(req *completion.Request, w *bufio.Writer) {
-	time.Sleep(e.prefill(req))
-	for i := req.ResumeFrom; i < req.MaxTokens; i++ {
-		time.Sleep(e.timing.Decode)
-		if !writeToken(w, req, i) {
+// Serve runs the engine and serves it at address until ctx ends.
+func (e *Engine) Serve(ctx context.Context, address string) error {
+	go e.Run(ctx)
+	return e.set.Serve(ctx, address, e.Handle)
+}
+
+// Run owns the batch until ctx ends. It must be called once.
+func (e *Engine) Run(ctx context.Context) {
+	defer close(e.stopped)
+	c := newCore(e.cfg, time.Now().UnixMilli())
+	var step step
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if !step.running && !c.idle() {
+			timer.Reset(time.Until(step.begin(c, time.Now())))
+		}
+		select {
+		case <-ctx.Done():
+			c.remove(func(*sequence) bool { return true }, time.Now())
 			return
+		case m := <-e.inbox:
+			m(c, time.Now())
+		case <-timer.C:
+			step.finish(c, time.Now())
 		}
+		e.reports.record(c, time.Now())
 	}
-	_, _ = w.Write(sse.Append(nil, sse.Event{ID: -1, Data: []byte(sse.Done)}))
-	_ = w.Flush()
 }
 
-func (e *Engine) prefill(req *completion.Request) time.Duration {
-	tokens := completion.CountTokens(req.Prompt) + req.ResumeFrom
-	return time.Duration(float64(tokens) / e.timing.PrefillPerMS * float64(time.Millisecond))
+// step is the step of the batch that is in progress.
+type step struct {
+	running bool
+	chained bool // the next step follows the last without a gap
+	end     time.Time
+}
+
+// begin plans a step and returns when it ends.
+func (s *step) begin(c *core, now time.Time) time.Time {
+	c.admit()
+	d := c.plan()
+	if !s.chained || now.Sub(s.end) > d {
+		s.end = now
+	}
+	s.end = s.end.Add(d)
+	s.running = true
+	return s.end
 }
 
-// writeToken sends the token at index i and reports whether the caller still
-// listens.
-func writeToken(w *bufio.Writer, req *completion.Request, i int) bool {
-	finish := ""
-	if i == req.MaxTokens-1 {
-		finish = "length"
+// finish applies the step, if one is in progress.
+func (s *step) finish(c *core, now time.Time) {
+	if !s.running {
+		return
 	}
-	chunk := completion.NewChunk(req.RequestID, req.Model, completion.WordAt(req.Prompt, i), finish, false)
-	chunk.Attempt = req.Attempt
-	data, err := json.Marshal(chunk)
+	c.finish(now)
+	s.running = false
+	s.chained = !c.idle()
+}
+
+// do runs m in the engine's task and waits for it.
+func (e *Engine) do(m message) error {
+	done := make(chan struct{})
+	err := e.send(func(c *core, now time.Time) {
+		m(c, now)
+		close(done)
+	})
 	if err != nil {
-		return false
+		return err
 	}
-	if _, err := w.Write(sse.Append(nil, sse.Event{ID: int64(i), Data: data})); err != nil {
-		return false
+	select {
+	case <-done:
+		return nil
+	case <-e.stopped:
+		return errors.New("engine stopped")
 	}
-	return w.Flush() == nil
+}
+
+func (e *Engine) send(m message) error {
+	select {
+	case e.inbox <- m:
+		return nil
+	case <-e.stopped:
+		return errors.New("engine stopped")
+	}
+}
+
+// restart loses the batch, the queue, the cache and the leaving state.
+func (e *Engine) restart() {
+	e.leaving.Store(nil)
+	_ = e.do(func(c *core, _ time.Time) { *c = *c.restart() })
+}
+
+// leave takes no new work from now on and stops after d.
+func (e *Engine) leave(d time.Duration) {
+	at := time.Now().Add(d)
+	e.leaving.Store(&at)
+	time.AfterFunc(d, func() {
+		if e.leaving.Load() == &at {
+			e.set.Kill()
+		}
+	})
 }
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,290 @@
+package engine_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+	"github.com/lagoonmux/lagoonmux/internal/sse"
+	"github.com/lagoonmux/lagoonmux/internal/standin/engine"
+	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
+)
+
+// runner is an engine that is being served.
+type runner struct {
+	*engine.Engine
+	set     *faults.Set
+	address string
+}
+
+func start(t *testing.T, cfg engine.Config) *runner {
+	t.Helper()
+	r := &runner{set: faults.New()}
+	r.Engine = engine.New(cfg, r.set)
+	l, err := r.set.Listener("127.0.0.1:0")
+	assert.NilError(t, err)
+	r.address = l.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go r.Run(ctx)
+	go func() { done <- r.set.ServeListener(ctx, l, r.Handle) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.Check(t, <-done)
+	})
+	return r
+}
+
+func (r *runner) post(t *testing.T, path string, body any) *http.Response {
+	t.Helper()
+	data, err := json.Marshal(body)
+	assert.NilError(t, err)
+	resp, err := http.Post("http://"+r.address+path, "application/json", bytes.NewReader(data))
+	assert.NilError(t, err)
+	return resp
+}
+
+// postJSON posts body, requires status 200 and decodes the answer.
+func postJSON[T any](t *testing.T, r *runner, path string, body any) T {
+	t.Helper()
+	var out T
+	resp := r.post(t, path, body)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, 200)
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&out))
+	return out
+}
+
+// tokens reads up to limit tokens of a stream and checks each against want.
+// It returns the usage of the first and whether the stream was whole.
+func tokens(t *testing.T, body io.Reader, want completion.Request, limit int) (completion.Usage, int, bool) {
+	t.Helper()
+	events := sse.NewReader(bufio.NewReader(body))
+	usage := completion.Usage{}
+	n := 0
+	for n < limit {
+		e, err := events.Next()
+		if err != nil || string(e.Data) == sse.Done {
+			return usage, n, err == nil
+		}
+		var chunk completion.Response
+		assert.NilError(t, json.Unmarshal(e.Data, &chunk))
+		text, _ := chunk.FirstChoice()
+		index := want.ResumeFrom + n
+		assert.Equal(t, e.ID, int64(index))
+		assert.Equal(t, text, completion.WordAt(want.Prompt, index))
+		assert.Equal(t, chunk.ID, want.RequestID)
+		assert.Equal(t, chunk.Attempt, want.Attempt)
+		if n == 0 {
+			usage = *chunk.Usage
+		}
+		n++
+	}
+	return usage, n, false
+}
+
+func (r *runner) complete(t *testing.T, req completion.Request) (completion.Usage, int, bool) {
+	t.Helper()
+	resp := r.post(t, completion.Path, req)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, 200)
+	return tokens(t, resp.Body, req, 1<<20)
+}
+
+func request(id, prompt string, n int) completion.Request {
+	return completion.Request{Model: "m", Prompt: prompt, MaxTokens: n, Stream: true, RequestID: id, Attempt: 1}
+}
+
+var (
+	fast   = engine.Config{Name: "e", Decode: 200 * time.Microsecond, PrefillPerMS: 1000}
+	prompt = strings.Repeat("sign archive ", 100)
+)
+
+func TestAnswerIsWholeAndPrefixIsCached(t *testing.T) {
+	e := start(t, fast)
+	usage, n, whole := e.complete(t, request("a", prompt, 40))
+	assert.Assert(t, whole && n == 40 && usage.CachedTokens == 0)
+	assert.Equal(t, usage.PromptTokens, completion.CountTokens(prompt))
+	usage, n, whole = e.complete(t, request("b", prompt+"another end", 3))
+	assert.Assert(t, whole && n == 3)
+	assert.Equal(t, usage.CachedTokens, len(completion.Blocks(prompt))*completion.BlockTokens)
+	st := e.Stats()
+	assert.Equal(t, st.GeneratedTokens, int64(43))
+	assert.Equal(t, st.RecomputedTokens, int64(0))
+}
+
+func TestResumeAfterKVImport(t *testing.T) {
+	cfg := fast
+	cfg.Seen = engine.NewSeen()
+	cfg.Decode = 2 * time.Millisecond
+	from, to, other := start(t, cfg), start(t, cfg), start(t, cfg)
+	req := request("a", prompt, 1000)
+	resp := from.post(t, completion.Path, req)
+	_, n, _ := tokens(t, resp.Body, req, 30)
+	handle := postJSON[struct {
+		Handle string
+		Tokens int
+	}](t, from, engine.PathExport, map[string]string{"request_id": "a"})
+	resp.Body.Close()
+	got := postJSON[struct{ Tokens int }](t, to, engine.PathImport, map[string]string{"from": from.address, "handle": handle.Handle})
+	assert.Equal(t, got.Tokens, handle.Tokens)
+
+	for i := range n {
+		req.ResumeText += completion.WordAt(prompt, i)
+	}
+	req.ResumeFrom, req.MaxTokens, req.Attempt = n, 40, 2
+	usage, m, whole := to.complete(t, req)
+	assert.Assert(t, whole && n+m == 40)
+	assert.Assert(t, usage.CachedTokens >= completion.CountTokens(prompt), "%+v", usage)
+	assert.Assert(t, to.Stats().RecomputedTokens < completion.BlockTokens)
+	_, _, whole = other.complete(t, req)
+	assert.Assert(t, whole)
+	assert.Assert(t, other.Stats().RecomputedTokens > int64(completion.CountTokens(prompt)))
+}
+
+func TestCancel(t *testing.T) {
+	cfg := fast
+	cfg.Slots = 1
+	cfg.Decode = time.Millisecond
+	e := start(t, cfg)
+	idle := func(poll.LogT) poll.Result {
+		if st := e.Stats(); st.Running+st.Waiting > 0 {
+			return poll.Continue("%+v", st)
+		}
+		return poll.Success()
+	}
+	t.Run("by closing while it runs and while it waits", func(t *testing.T) {
+		running := e.post(t, completion.Path, request("a", prompt, 1<<20))
+		waiting := e.post(t, completion.Path, request("b", prompt, 1<<20))
+		waiting.Body.Close()
+		running.Body.Close()
+		poll.WaitOn(t, idle)
+		assert.Equal(t, e.Stats().Canceled, int64(2))
+	})
+	t.Run("by a call", func(t *testing.T) {
+		resp := e.post(t, completion.Path, request("c", prompt, 1<<20))
+		defer resp.Body.Close()
+		got := postJSON[struct{ Canceled int }](t, e, engine.PathCancel, map[string]string{"request_id": "c"})
+		assert.Equal(t, got.Canceled, 1)
+		_, _, whole := tokens(t, resp.Body, request("c", prompt, 0), 1<<20)
+		assert.Assert(t, !whole)
+		poll.WaitOn(t, idle)
+	})
+}
+
+func TestOrders(t *testing.T) {
+	cfg := fast
+	cfg.ChecksFence = true
+	checks, trusts := start(t, cfg), start(t, fast)
+	old := time.Now().Add(-time.Second).UnixMilli()
+	for _, tc := range []struct {
+		order engine.Order
+		want  int
+	}{
+		{engine.Order{Fence: 2, Order: "load", Model: "m", Version: "2"}, 200},
+		{engine.Order{Fence: 1, Order: "unload", Model: "m"}, 409},
+		{engine.Order{Fence: 2, Order: "role", Role: "prefill", ValidUntilMS: old}, 409},
+		{engine.Order{Fence: 3, Order: "dance"}, 400},
+	} {
+		resp := checks.post(t, engine.PathOrders, tc.order)
+		resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, tc.want)
+		resp = trusts.post(t, engine.PathOrders, tc.order)
+		resp.Body.Close()
+		assert.Equal(t, resp.StatusCode == 200, tc.want != 400)
+	}
+	assert.Equal(t, len(checks.Stats().Orders), 1)
+	assert.Equal(t, len(trusts.Stats().Orders), 3)
+}
+
+func TestLeavingRefusesNewWorkAndEnds(t *testing.T) {
+	cfg := fast
+	cfg.Decode = 5 * time.Millisecond
+	e := start(t, cfg)
+	resp := e.post(t, completion.Path, request("a", prompt, 1<<20))
+	defer resp.Body.Close()
+	assert.NilError(t, e.set.Apply(faults.Plan{Faults: []faults.Fault{{Name: faults.Leave, DelayMS: 1000}}}))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		refused := e.post(t, completion.Path, request("b", prompt, 1))
+		refused.Body.Close()
+		if refused.StatusCode != 503 {
+			return poll.Continue("status %d", refused.StatusCode)
+		}
+		assert.Equal(t, refused.Header.Get(faults.RefusedHeader), faults.ReasonLeaving)
+		return poll.Success()
+	})
+	load, err := http.Get("http://" + e.address + engine.PathLoad)
+	assert.NilError(t, err)
+	defer load.Body.Close()
+	var report routing.LoadReport
+	assert.NilError(t, json.NewDecoder(load.Body).Decode(&report))
+	assert.Assert(t, report.Leaving && report.LeavingInMS <= 1000)
+	_, n, whole := tokens(t, resp.Body, request("a", prompt, 0), 1<<20)
+	assert.Assert(t, n > 0 && !whole)
+}
+
+func TestCacheEventsTellOfStoresAndRestarts(t *testing.T) {
+	type page struct {
+		Epoch, Next int64
+		Events      []struct {
+			Seq       int64
+			Op, Block string
+		}
+	}
+	e := start(t, fast)
+	_, _, whole := e.complete(t, request("a", prompt, 2))
+	assert.Assert(t, whole)
+	events := func() page {
+		resp, err := http.Get("http://" + e.address + engine.PathEvents + "?after=0")
+		assert.NilError(t, err)
+		defer resp.Body.Close()
+		var p page
+		assert.NilError(t, json.NewDecoder(resp.Body).Decode(&p))
+		return p
+	}
+	first := events()
+	blocks := completion.Blocks(prompt)
+	assert.Assert(t, len(first.Events) >= len(blocks))
+	stored := make(map[string]bool)
+	for _, ev := range first.Events {
+		stored[ev.Block] = ev.Op == "store"
+	}
+	for _, b := range blocks {
+		assert.Assert(t, stored[strconv.FormatUint(b, 16)])
+	}
+	assert.NilError(t, e.set.Apply(faults.Plan{Faults: []faults.Fault{{Name: faults.Restart}}}))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p := events(); p.Epoch == first.Epoch || len(p.Events) > 0 {
+			return poll.Continue("%+v", p)
+		}
+		return poll.Success()
+	})
+}
+
+func TestCutAndCrossedStreams(t *testing.T) {
+	e := start(t, fast)
+	apply := func(f faults.Fault) {
+		assert.NilError(t, e.set.Apply(faults.Plan{Faults: []faults.Fault{f}}))
+	}
+	apply(faults.Fault{Name: faults.Cut, Tokens: 7})
+	_, n, whole := e.complete(t, request("a", prompt, 20))
+	assert.Assert(t, n == 7 && !whole)
+	apply(faults.Fault{Name: faults.Crossed})
+	resp := e.post(t, completion.Path, request("b", prompt, 2))
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(body), "crossed-b"))
+}
--- /dev/null
+++ b/internal/standin/engine/kv.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+)
+
+const (
+	kvTokensPerMS   = 200 // moved between two engines
+	kvImportTimeout = 5 * time.Second
+	maxExports      = 1024 // that an engine remembers
+)
+
+type exportRequest struct {
+	RequestID string `json:"request_id"`
+}
+
+type exportResponse struct {
+	Handle string `json:"handle"`
+	Tokens int    `json:"tokens"`
+}
+
+// export makes the KV cache of a running request available to other engines.
+func (e *Engine) export(ctx *fasthttp.RequestCtx) {
+	var req exportRequest
+	if !readJSON(ctx, &req) {
+		return
+	}
+	var resp exportResponse
+	err := e.do(func(c *core, _ time.Time) {
+		s := c.find(req.RequestID)
+		if s == nil || s.left > 0 {
+			return
+		}
+		blocks := completion.Blocks(s.text())
+		resp.Handle = req.RequestID + "-" + strconv.Itoa(s.next)
+		resp.Tokens = len(blocks) * blockTokens
+		if len(c.exports) >= maxExports {
+			clear(c.exports)
+		}
+		c.exports[resp.Handle] = blocks
+	})
+	if err != nil || resp.Handle == "" {
+		ctx.Error("no such request in the batch", fasthttp.StatusNotFound)
+		return
+	}
+	WriteJSON(ctx, resp)
+}
+
+type importRequest struct {
+	From   string `json:"from"` // address of the exporting engine
+	Handle string `json:"handle"`
+}
+
+type importResponse struct {
+	Tokens int `json:"tokens"`
+}
+
+// importKV fetches an exported KV cache from another engine.
+func (e *Engine) importKV(ctx *fasthttp.RequestCtx) {
+	var req importRequest
+	if !readJSON(ctx, &req) {
+		return
+	}
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+req.From+pathKV+"?handle="+req.Handle, kvImportTimeout)
+	var blocks []uint64
+	if err == nil && status == fasthttp.StatusOK {
+		err = json.Unmarshal(body, &blocks)
+	}
+	if err != nil || status != fasthttp.StatusOK {
+		ctx.Error("import failed", fasthttp.StatusBadGateway)
+		return
+	}
+	tokens := len(blocks) * blockTokens
+	time.Sleep(time.Duration(tokens) * time.Millisecond / kvTokensPerMS)
+	err = e.do(func(c *core, now time.Time) {
+		c.cache.insert(blocks, now)
+		c.shrink(now)
+	})
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+		return
+	}
+	WriteJSON(ctx, importResponse{Tokens: tokens})
+}
+
+// blocks answers another engine's import.
+func (e *Engine) blocks(ctx *fasthttp.RequestCtx) {
+	handle := string(ctx.QueryArgs().Peek("handle"))
+	var blocks []uint64
+	_ = e.do(func(c *core, _ time.Time) { blocks = c.exports[handle] })
+	if blocks == nil {
+		ctx.Error("no such handle", fasthttp.StatusNotFound)
+		return
+	}
+	WriteJSON(ctx, blocks)
+}
--- /dev/null
+++ b/internal/standin/engine/load.go
@@ -0,0 +1,76 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+)
+
+const maxReports = 32
+
+// history holds the last load reports, so that old ones can be given out. Its
+// methods may be called from any goroutine.
+type history struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	reports []routing.LoadReport
+}
+
+// record takes a report of c unless the last is recent.
+func (h *history) record(c *core, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := len(h.reports)
+	if n > 0 && now.Sub(h.reports[n-1].At) < h.lag/maxReports && c.idle() == reportsIdle(h.reports[n-1]) {
+		return
+	}
+	r := routing.LoadReport{
+		Upstream:      c.cfg.Name,
+		At:            now,
+		Epoch:         c.epoch,
+		Running:       len(c.running),
+		Waiting:       len(c.waiting),
+		WaitingTokens: c.waitingTokens(),
+		KVUsed:        len(c.cache.blocks)*blockTokens + c.privateTokens(),
+		KVCapacity:    c.cfg.CacheTokens,
+	}
+	if h.lag == 0 {
+		h.reports = append(h.reports[:0], r)
+		return
+	}
+	if n >= 2*maxReports {
+		h.reports = append(h.reports[:0], h.reports[maxReports/2:]...)
+	}
+	h.reports = append(h.reports, r)
+}
+
+func reportsIdle(r routing.LoadReport) bool { return r.Running == 0 && r.Waiting == 0 }
+
+// at returns the newest report that is at least the lag old.
+func (h *history) at(now time.Time) routing.LoadReport {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := len(h.reports) - 1; i >= 0; i-- {
+		if r := h.reports[i]; !r.At.After(now.Add(-h.lag)) {
+			r.At = now.Add(-h.lag)
+			return r
+		}
+	}
+	if len(h.reports) > 0 {
+		return h.reports[0]
+	}
+	return routing.LoadReport{At: now}
+}
+
+// load returns the load report as of now.
+func (e *Engine) load(now time.Time) routing.LoadReport {
+	r := e.reports.at(now)
+	r.Upstream = e.cfg.Name
+	if at := e.leaving.Load(); at != nil {
+		r.Leaving = true
+		r.LeavingInMS = max(at.Sub(now).Milliseconds(), 0)
+	}
+	return r
+}
--- a/internal/standin/faults/handler.go
+++ b/internal/standin/faults/handler.go
@@ -43,7 +43,7 @@
 
 // ServeListener is Serve on a listener made by Listener.
 func (s *Set) ServeListener(ctx context.Context, l net.Listener, next fasthttp.RequestHandler) error {
-	server := &fasthttp.Server{Handler: s.Wrap(next), Name: "lagoonstand", NoDefaultDate: true}
+	server := &fasthttp.Server{Handler: s.Wrap(next), Name: "lagoonstand", NoDefaultDate: true, Logger: quiet{}}
 	stop := context.AfterFunc(ctx, func() {
 		_ = l.Close()
 		s.closeConns()
@@ -56,6 +56,12 @@
 	return errors.Wrapf(err, "serve at %s", l.Addr())
 }
 
+// quiet drops the server's messages, since faults break connections on purpose.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
 func (s *Set) closeConns() {
 	s.mu.Lock()
 	open := make([]*conn, 0, len(s.conns))
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -5,10 +5,8 @@
 import (
 	"context"
 	"os"
-	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
@@ -17,11 +15,6 @@
 	"github.com/lagoonmux/lagoonmux/internal/standin/plain"
 )
 
-const (
-	defaultPrefillPerMS = 10
-	defaultDecode       = 10 * time.Millisecond
-)
-
 // Serve serves the upstreams of the manifest in the named file until ctx ends.
 func Serve(ctx context.Context, path string) error {
 	text, err := os.ReadFile(path)
@@ -32,17 +25,27 @@
 	if err != nil {
 		return err
 	}
+	seen := engine.NewSeen()
 	g, gctx := errgroup.WithContext(ctx)
 	for i := range m.Upstreams {
 		u := &m.Upstreams[i]
-		g.Go(func() error { return faults.New().Serve(gctx, u.Address, handler(m, u)) })
+		g.Go(func() error { return serveUpstream(gctx, m, u, seen) })
 	}
 	return g.Wait()
 }
 
-func handler(m *manifest.Manifest, u *manifest.Upstream) fasthttp.RequestHandler {
+func serveUpstream(ctx context.Context, m *manifest.Manifest, u *manifest.Upstream, seen *engine.Seen) error {
+	set := faults.New()
 	if manifest.NewActive(0, m).Service(u.Service).Kind == manifest.Plain {
-		return plain.NewCounter().Handle
+		return set.Serve(ctx, u.Address, plain.NewCounter().Handle)
+	}
+	cfg := engine.Config{
+		Name:         u.Name,
+		Slots:        u.Slots,
+		PrefillPerMS: float64(u.PrefillPerMS),
+		CacheTokens:  u.CacheTokens,
+		ChecksFence:  u.ChecksFence,
+		Seen:         seen,
 	}
-	return engine.New(engine.Timing{PrefillPerMS: defaultPrefillPerMS, Decode: defaultDecode}).Handle
+	return engine.New(cfg, set).Serve(ctx, u.Address)
 }
