Stand-in plain service: load reports, leaving, run counts of effects

Work that reaches a stand-in after its notice is counted with its time, which measures how soon an upstream that is leaving gets no new work.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -75,7 +75,6 @@
 	stopped chan struct{}
 	started time.Time
 	refused atomic.Int64
-	leaving atomic.Pointer[time.Time] // when it will stop; nil while it is not leaving
 	reports history
 }
 
@@ -88,7 +87,6 @@
 	e := &Engine{cfg: cfg, set: set, inbox: make(chan message, cfg.Slots), stopped: make(chan struct{}), started: time.Now()}
 	e.reports.lag = cfg.LoadLag
 	set.On(faults.Restart, func(faults.Fault) { e.restart() })
-	set.On(faults.Leave, func(f faults.Fault) { e.leave(f.Delay()) })
 	return e
 }
 
@@ -178,19 +176,7 @@
 	}
 }
 
-// restart loses the batch, the queue, the cache and the leaving state.
+// restart loses the batch, the queue and the cache.
 func (e *Engine) restart() {
-	e.leaving.Store(nil)
 	_ = e.do(func(c *core, _ time.Time) { *c = *c.restart() })
 }
-
-// leave takes no new work from now on and stops after d.
-func (e *Engine) leave(d time.Duration) {
-	at := time.Now().Add(d)
-	e.leaving.Store(&at)
-	time.AfterFunc(d, func() {
-		if e.leaving.Load() == &at {
-			e.set.Kill()
-		}
-	})
-}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -38,7 +38,7 @@
 	case PathCancel:
 		e.cancel(ctx)
 	case PathLoad:
-		WriteJSON(ctx, e.load(time.Now()))
+		writeJSON(ctx, e.load(time.Now()))
 	case PathEvents:
 		e.cacheEvents(ctx)
 	case PathExport:
@@ -50,7 +50,7 @@
 	case PathOrders:
 		e.order(ctx)
 	case PathStats:
-		WriteJSON(ctx, e.Stats())
+		writeJSON(ctx, e.Stats())
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
@@ -66,8 +66,8 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	if e.leaving.Load() != nil {
-		e.refuse(ctx, faults.ReasonLeaving)
+	if e.set.RefuseLeaving(ctx) {
+		e.refused.Add(1)
 		return
 	}
 	s := e.newSequence(req)
@@ -80,7 +80,8 @@
 		}
 	})
 	if err != nil || full {
-		e.refuse(ctx, faults.ReasonOverloaded)
+		e.refused.Add(1)
+		faults.RespondRefused(ctx, faults.ReasonOverloaded, retryAfter)
 		return
 	}
 	ctx.SetContentType("text/event-stream")
@@ -88,11 +89,6 @@
 	ctx.SetBodyStream(s.out, -1)
 }
 
-func (e *Engine) refuse(ctx *fasthttp.RequestCtx, reason string) {
-	e.refused.Add(1)
-	faults.Refuse503(ctx, reason, retryAfter)
-}
-
 func (e *Engine) newSequence(req *completion.Request) *sequence {
 	s := &sequence{
 		id:       req.RequestID,
@@ -154,7 +150,7 @@
 	if _, ok := e.set.Draw(faults.Ignore, PathCancel); !ok {
 		_ = e.do(func(c *core, now time.Time) { resp.Canceled = c.cancel(req.RequestID, req.Attempt, now) })
 	}
-	WriteJSON(ctx, resp)
+	writeJSON(ctx, resp)
 }
 
 func (e *Engine) order(ctx *fasthttp.RequestCtx) {
@@ -173,9 +169,9 @@
 		ctx.Error(refusal.Error(), fasthttp.StatusBadRequest)
 	default:
 		if o.Order == orderStop {
-			e.leave(0)
+			e.set.Leave(0, false)
 		}
-		WriteJSON(ctx, o)
+		writeJSON(ctx, o)
 	}
 }
 
@@ -209,7 +205,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
 		return
 	}
-	WriteJSON(ctx, out)
+	writeJSON(ctx, out)
 }
 
 // readJSON decodes the body into v, or answers 400 and returns false.
@@ -221,8 +217,8 @@
 	return true
 }
 
-// WriteJSON answers with v.
-func WriteJSON(ctx *fasthttp.RequestCtx, v any) {
+// writeJSON answers with v.
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	data, err := json.Marshal(v)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -49,7 +49,7 @@
 		ctx.Error("no such request in the batch", fasthttp.StatusNotFound)
 		return
 	}
-	WriteJSON(ctx, resp)
+	writeJSON(ctx, resp)
 }
 
 type importRequest struct {
@@ -86,7 +86,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
 		return
 	}
-	WriteJSON(ctx, importResponse{Tokens: tokens})
+	writeJSON(ctx, importResponse{Tokens: tokens})
 }
 
 // blocks answers another engine's import.
@@ -98,5 +98,5 @@
 		ctx.Error("no such handle", fasthttp.StatusNotFound)
 		return
 	}
-	WriteJSON(ctx, blocks)
+	writeJSON(ctx, blocks)
 }
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -68,7 +68,7 @@
 func (e *Engine) load(now time.Time) routing.LoadReport {
 	r := e.reports.at(now)
 	r.Upstream = e.cfg.Name
-	if at := e.leaving.Load(); at != nil {
+	if at, ok := e.set.Leaving(); ok {
 		r.Leaving = true
 		r.LeavingInMS = max(at.Sub(now).Milliseconds(), 0)
 	}
--- a/internal/standin/engine/stats.go
+++ b/internal/standin/engine/stats.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
+)
 
 // Stats counts what an engine has done since it started, restarts included.
 type Stats struct {
@@ -22,6 +26,7 @@
 	Waiting          int     `json:"waiting"`
 	Orders           []Order `json:"orders,omitempty"`
 	OrdersRefused    int64   `json:"orders_refused"`
+	faults.LeavingStats
 }
 
 // Stats returns the counters as of now, or the zero value after the engine has
@@ -40,5 +45,6 @@
 	})
 	out.Name = e.cfg.Name
 	out.Refused = e.refused.Load()
+	out.LeavingStats = e.set.LeavingStats()
 	return out
 }
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -40,7 +40,7 @@
 const (
 	Blackhole Name = "blackhole" // connections that are open go silent for good; new ones work
 	Restart   Name = "restart"   // memory is lost, connections close, the epoch changes
-	Leave     Name = "leave"     // announces leaving, with a deadline of DelayMS
+	Leave     Name = "leave"     // announces leaving, and is killed after DelayMS
 	Kill      Name = "kill"      // Restart with the port closed for ForMS, or for good
 )
 
@@ -60,7 +60,7 @@
 	DelayMS int64   `json:"delay_ms,omitempty"` // of slow and late, deadline of leave
 	Tokens  int     `json:"tokens,omitempty"`   // that a cut stream sends before it breaks
 	Reason  string  `json:"reason,omitempty"`   // of refuse: overloaded (the default), leaving or deadline
-	Bare    bool    `json:"bare,omitempty"`     // refuse by a 503 that does not promise that nothing ran
+	Bare    bool    `json:"bare,omitempty"`     // refuse by a 503 that does not promise that nothing ran; leave without refusing new work
 }
 
 // Delay returns DelayMS as a duration.
@@ -98,6 +98,8 @@
 	timers []*time.Timer
 	conns  map[*conn]struct{}
 	last   []byte // body of the last whole answer, for Crossed
+
+	leaving leaving
 }
 
 // New returns a set without faults.
@@ -216,6 +218,12 @@
 		hooks = append(hooks[:len(hooks):len(hooks)], s.hooks[Restart]...)
 	}
 	s.mu.Unlock()
+	switch r.Name {
+	case Leave:
+		s.Leave(r.Delay(), r.Bare)
+	case Restart, Kill:
+		s.leaving.notice.Store(nil)
+	}
 	for _, f := range hooks {
 		go f(r.Fault)
 	}
--- a/internal/standin/faults/handler.go
+++ b/internal/standin/faults/handler.go
@@ -24,8 +24,8 @@
 
 const maxSilence = 10 * time.Minute
 
-// Refuse503 answers that the request was not run.
-func Refuse503(ctx *fasthttp.RequestCtx, reason, retryAfter string) {
+// RespondRefused answers that the request was not run.
+func RespondRefused(ctx *fasthttp.RequestCtx, reason, retryAfter string) {
 	ctx.Error("refused: "+reason, fasthttp.StatusServiceUnavailable)
 	ctx.Response.Header.Set(RefusedHeader, reason)
 	ctx.Response.Header.Set("Retry-After", retryAfter)
@@ -120,7 +120,7 @@
 	if reason == "" {
 		reason = ReasonOverloaded
 	}
-	Refuse503(ctx, reason, "1")
+	RespondRefused(ctx, reason, "1")
 	return true
 }
 
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -5,14 +5,24 @@
 import (
 	"encoding/json"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
 )
 
-// RunsPath answers with the runs of each key as a JSON object.
-const RunsPath = "/debug/runs"
+// Paths beside those of the service.
+const (
+	RunsPath  = "/debug/runs"  // the runs of each key as a JSON object
+	StatsPath = "/debug/stats" // Stats
+	LoadPath  = "/load"        // routing.LoadReport
+)
 
-// Counter counts runs for each key. Several services may share one.
+// Counter counts the runs of each key. Several services may share one. Its
+// methods may be called from any goroutine.
 type Counter struct {
 	mu   sync.Mutex
 	runs map[string]int
@@ -39,6 +49,40 @@
 	return out
 }
 
+// Config is the speed of a service.
+type Config struct {
+	Name         string
+	Slots        int           // calls that run at once; 0 for no bound
+	Work         time.Duration // of one call
+	PricePerHour float64
+	Counter      *Counter // shared by the services whose runs count together; nil for its own
+}
+
+// Service is one plain service.
+type Service struct {
+	cfg     Config
+	set     *faults.Set
+	slots   chan struct{} // nil for no bound
+	started time.Time
+	epoch   atomic.Int64 // Unix milliseconds
+	calls   atomic.Int64
+	active  atomic.Int64 // calls running or waiting
+}
+
+// New returns a service with the faults of set.
+func New(cfg Config, set *faults.Set) *Service {
+	if cfg.Counter == nil {
+		cfg.Counter = NewCounter()
+	}
+	s := &Service{cfg: cfg, set: set, started: time.Now()}
+	if cfg.Slots > 0 {
+		s.slots = make(chan struct{}, cfg.Slots)
+	}
+	s.epoch.Store(s.started.UnixMilli())
+	set.On(faults.Restart, func(faults.Fault) { s.epoch.Add(1) })
+	return s
+}
+
 // Result is the answer to a call.
 type Result struct {
 	Path string `json:"path"`
@@ -47,18 +91,72 @@
 	Echo string `json:"echo,omitempty"`
 }
 
+// Stats counts what a service has done.
+type Stats struct {
+	Name  string  `json:"name"`
+	Calls int64   `json:"calls"` // that had an effect, whether or not the answer arrived
+	UpMS  int64   `json:"up_ms"`
+	Cost  float64 `json:"cost"` // price of the time up
+	faults.LeavingStats
+}
+
 // Handle serves one request.
-func (c *Counter) Handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) == RunsPath {
-		writeJSON(ctx, c.Runs())
-		return
+func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case RunsPath:
+		writeJSON(ctx, s.cfg.Counter.Runs())
+	case StatsPath:
+		writeJSON(ctx, s.stats())
+	case LoadPath:
+		writeJSON(ctx, s.load(time.Now()))
+	default:
+		if !s.set.RefuseLeaving(ctx) {
+			writeJSON(ctx, s.run(ctx))
+		}
+	}
+}
+
+// run carries out one call. Its effect counts even if the answer is lost.
+func (s *Service) run(ctx *fasthttp.RequestCtx) Result {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	if s.slots != nil {
+		s.slots <- struct{}{}
+		defer func() { <-s.slots }()
 	}
+	time.Sleep(s.cfg.Work)
+	s.calls.Add(1)
 	res := Result{Path: string(ctx.Path()), Echo: string(ctx.PostBody())}
 	if key := ctx.Request.Header.Peek("Idempotency-Key"); len(key) > 0 {
 		res.Key = string(key)
-		res.Run = c.add(res.Key)
+		res.Run = s.cfg.Counter.add(res.Key)
+	}
+	return res
+}
+
+func (s *Service) stats() Stats {
+	up := time.Since(s.started)
+	return Stats{
+		Name:         s.cfg.Name,
+		Calls:        s.calls.Load(),
+		UpMS:         up.Milliseconds(),
+		Cost:         up.Hours() * s.cfg.PricePerHour,
+		LeavingStats: s.set.LeavingStats(),
+	}
+}
+
+func (s *Service) load(now time.Time) routing.LoadReport {
+	active := int(s.active.Load())
+	running := active
+	if s.slots != nil {
+		running = len(s.slots)
+	}
+	r := routing.LoadReport{Upstream: s.cfg.Name, At: now, Epoch: s.epoch.Load(), Running: running, Waiting: max(active-running, 0)}
+	if at, ok := s.set.Leaving(); ok {
+		r.Leaving = true
+		r.LeavingInMS = max(at.Sub(now).Milliseconds(), 0)
 	}
-	writeJSON(ctx, res)
+	return r
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -37,7 +37,7 @@
 func serveUpstream(ctx context.Context, m *manifest.Manifest, u *manifest.Upstream, seen *engine.Seen) error {
 	set := faults.New()
 	if manifest.NewActive(0, m).Service(u.Service).Kind == manifest.Plain {
-		return set.Serve(ctx, u.Address, plain.NewCounter().Handle)
+		return set.Serve(ctx, u.Address, plain.New(plain.Config{Name: u.Name, Slots: u.Slots}, set).Handle)
 	}
 	cfg := engine.Config{
 		Name:         u.Name,
