Stand-ins: seeded faults on every listener

A stand-in could not fail.

Ruled out: closing accepted connections for 'down', since a caller then cannot tell it from a lost answer; the listening port itself is closed and opened again.

--- /dev/null
+++ b/internal/standin/faults/conn.go
@@ -0,0 +1,175 @@
+package faults
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// portPoll is how often a closed port looks whether it may open again.
+const portPoll = 10 * time.Millisecond
+
+// conn is an accepted connection that can go silent.
+type conn struct {
+	net.Conn
+	set       *Set
+	mu        sync.Mutex
+	silent    bool
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+// silence makes the connection swallow what is written and deliver nothing
+// more, without the other side being told.
+func (c *conn) silence() {
+	c.mu.Lock()
+	c.silent = true
+	c.mu.Unlock()
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // wakes a blocked Read
+}
+
+func (c *conn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+// reset closes the connection at once and drops what was not yet sent.
+func (c *conn) reset() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// Read implements net.Conn. On a silent connection it blocks until Close.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.isSilent() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn. On a silent connection it does nothing.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.isSilent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		c.set.mu.Lock()
+		delete(c.set.conns, c)
+		c.set.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// Listener listens at address and applies the faults of the set to it. Close
+// it to stop.
+func (s *Set) Listener(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen at %s", address)
+	}
+	fl := &listener{set: s, address: l.Addr(), inner: l, closed: make(chan struct{})}
+	go fl.watch()
+	return fl, nil
+}
+
+// listener is a port that can be closed and opened again.
+type listener struct {
+	set     *Set
+	address net.Addr
+	closed  chan struct{}
+	once    sync.Once
+
+	mu    sync.Mutex
+	inner net.Listener // nil while the port is closed
+}
+
+// watch closes the port while the faults say so.
+func (l *listener) watch() {
+	t := time.NewTicker(portPoll)
+	defer t.Stop()
+	for {
+		select {
+		case <-l.closed:
+			return
+		case <-t.C:
+		}
+		l.follow(l.set.portClosed())
+	}
+}
+
+func (l *listener) follow(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if down && l.inner != nil {
+		_ = l.inner.Close()
+		l.inner = nil
+		return
+	}
+	if down || l.inner != nil {
+		return
+	}
+	if inner, err := net.Listen("tcp", l.address.String()); err == nil {
+		l.inner = inner
+	}
+}
+
+func (l *listener) current() net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inner
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		select {
+		case <-l.closed:
+			return nil, net.ErrClosed
+		default:
+		}
+		inner := l.current()
+		if inner == nil {
+			time.Sleep(portPoll)
+			continue
+		}
+		nc, err := inner.Accept()
+		if err != nil {
+			if inner == l.current() {
+				time.Sleep(portPoll)
+			}
+			continue
+		}
+		c := &conn{Conn: nc, set: l.set, closed: make(chan struct{})}
+		l.set.mu.Lock()
+		l.set.conns[c] = struct{}{}
+		l.set.mu.Unlock()
+		return c, nil
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inner == nil {
+		return nil
+	}
+	return l.inner.Close()
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return l.address }
--- /dev/null
+++ b/internal/standin/faults/handler.go
@@ -0,0 +1,201 @@
+package faults
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// RefusedHeader marks an answer that promises that the request was not run.
+const RefusedHeader = "Lagoonmux-Refused"
+
+// Reasons of a refusal.
+const (
+	ReasonOverloaded = "overloaded"
+	ReasonLeaving    = "leaving"
+	ReasonDeadline   = "deadline"
+)
+
+const maxSilence = 10 * time.Minute
+
+// Refuse503 answers that the request was not run.
+func Refuse503(ctx *fasthttp.RequestCtx, reason, retryAfter string) {
+	ctx.Error("refused: "+reason, fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(RefusedHeader, reason)
+	ctx.Response.Header.Set("Retry-After", retryAfter)
+}
+
+// Serve serves next at address with the faults of the set until ctx ends. It
+// returns an error if the address cannot be listened on.
+func (s *Set) Serve(ctx context.Context, address string, next fasthttp.RequestHandler) error {
+	l, err := s.Listener(address)
+	if err != nil {
+		return err
+	}
+	return s.ServeListener(ctx, l, next)
+}
+
+// ServeListener is Serve on a listener made by Listener.
+func (s *Set) ServeListener(ctx context.Context, l net.Listener, next fasthttp.RequestHandler) error {
+	server := &fasthttp.Server{Handler: s.Wrap(next), Name: "lagoonstand", NoDefaultDate: true}
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		s.closeConns()
+	})
+	defer stop()
+	err := server.Serve(l)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrapf(err, "serve at %s", l.Addr())
+}
+
+func (s *Set) closeConns() {
+	s.mu.Lock()
+	open := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	s.clear()
+	s.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
+// Wrap returns a handler that applies the faults to next and serves /faults.
+// Cut and Crossed of a streamed answer are left to next, which draws them
+// itself; so are Ignore and Gap.
+func (s *Set) Wrap(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		path := string(ctx.Path())
+		if path == Path {
+			s.handle(ctx)
+			return
+		}
+		if s.before(ctx, path) {
+			return
+		}
+		next(ctx)
+		s.after(ctx, path)
+	}
+}
+
+// before applies the faults that come before the request runs and reports
+// whether it must not run.
+func (s *Set) before(ctx *fasthttp.RequestCtx, path string) bool {
+	if f, ok := s.Draw(Slow, path); ok {
+		time.Sleep(f.Delay())
+	}
+	if _, ok := s.Draw(Down, path); ok {
+		drop(ctx)
+		return true
+	}
+	if _, ok := s.Draw(Silent, path); ok {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { waitClosed(c) })
+		return true
+	}
+	f, ok := s.Draw(Refuse, path)
+	if !ok {
+		return false
+	}
+	if f.Bare {
+		ctx.Error("unavailable", fasthttp.StatusServiceUnavailable)
+		return true
+	}
+	reason := f.Reason
+	if reason == "" {
+		reason = ReasonOverloaded
+	}
+	Refuse503(ctx, reason, "1")
+	return true
+}
+
+// after applies the faults that come after the request has run.
+func (s *Set) after(ctx *fasthttp.RequestCtx, path string) {
+	if _, ok := s.Draw(Lost, path); ok {
+		drop(ctx)
+		return
+	}
+	if f, ok := s.Draw(Late, path); ok {
+		time.Sleep(f.Delay())
+	}
+	if ctx.Response.IsBodyStream() {
+		return
+	}
+	if _, ok := s.Draw(Cut, path); ok {
+		cutAnswer(ctx)
+		return
+	}
+	s.cross(ctx, path)
+}
+
+// cross answers with the body of an earlier request if Crossed hits.
+func (s *Set) cross(ctx *fasthttp.RequestCtx, path string) {
+	_, hit := s.Draw(Crossed, path)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if hit && s.last != nil {
+		ctx.Response.SetBody(s.last)
+		return
+	}
+	s.last = append(s.last[:0], ctx.Response.Body()...)
+}
+
+// drop closes the connection without an answer.
+func drop(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {})
+}
+
+// cutAnswer sends half of the answer and closes the connection.
+func cutAnswer(ctx *fasthttp.RequestCtx) {
+	var wire bytes.Buffer
+	w := bufio.NewWriter(&wire)
+	_ = ctx.Response.Write(w)
+	_ = w.Flush()
+	half := wire.Bytes()[:wire.Len()-len(ctx.Response.Body())/2-1]
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _, _ = c.Write(half) })
+}
+
+// waitClosed waits until the other side closes the connection.
+func waitClosed(c net.Conn) {
+	_ = c.SetReadDeadline(time.Now().Add(maxSilence))
+	var b [512]byte
+	for {
+		if _, err := c.Read(b[:]); err != nil {
+			return
+		}
+	}
+}
+
+func (s *Set) handle(ctx *fasthttp.RequestCtx) {
+	if ctx.IsPost() {
+		var p Plan
+		d := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+		d.DisallowUnknownFields()
+		err := d.Decode(&p)
+		if err == nil {
+			err = s.Apply(p)
+		}
+		if err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+	}
+	data, err := json.Marshal(s.Status())
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -13,6 +13,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/standin/engine"
+	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
 	"github.com/lagoonmux/lagoonmux/internal/standin/plain"
 )
 
@@ -34,7 +35,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	for i := range m.Upstreams {
 		u := &m.Upstreams[i]
-		g.Go(func() error { return listen(gctx, u.Address, handler(m, u)) })
+		g.Go(func() error { return faults.New().Serve(gctx, u.Address, handler(m, u)) })
 	}
 	return g.Wait()
 }
@@ -45,11 +46,3 @@
 	}
 	return engine.New(engine.Timing{PrefillPerMS: defaultPrefillPerMS, Decode: defaultDecode}).Handle
 }
-
-// listen serves address until ctx ends.
-func listen(ctx context.Context, address string, h fasthttp.RequestHandler) error {
-	s := &fasthttp.Server{Handler: h, Name: "lagoonstand"}
-	stop := context.AfterFunc(ctx, func() { _ = s.Shutdown() })
-	defer stop()
-	return errors.Wrapf(s.ListenAndServe(address), "listen at %s", address)
-}
