--- /dev/null
+++ b/internal/platform/objects/objects.go
@@ -0,0 +1,91 @@
+// Package objects is the client of an object store that serves GET, PUT and
+// DELETE of whole objects over HTTP.
+package objects
+
+import (
+	"context"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/platform"
+)
+
+// Bucket is the first segment of every object's path.
+const Bucket = "lagoonmux"
+
+const (
+	callTimeout = 3 * time.Second
+	idleTimeout = 10 * time.Second
+)
+
+// Store implements platform.Objects. Its methods may be called from any
+// goroutine.
+type Store struct {
+	endpoint string
+	http     fasthttp.Client
+}
+
+// New returns a client of the store at endpoint, a URL.
+func New(endpoint string) *Store {
+	return &Store{endpoint: endpoint, http: fasthttp.Client{
+		NoDefaultUserAgentHeader: true,
+		MaxIdleConnDuration:      idleTimeout,
+		// A repeated call would double the time that the caller waits.
+		MaxIdemponentCallAttempts: 1,
+	}}
+}
+
+// Close closes idle connections.
+func (s *Store) Close() { s.http.CloseIdleConnections() }
+
+// Get implements platform.Objects.
+func (s *Store) Get(ctx context.Context, name string) ([]byte, error) {
+	return s.call(ctx, fasthttp.MethodGet, name, nil)
+}
+
+// Put implements platform.Objects. An object is written whole, so a write whose
+// answer was lost may be repeated.
+func (s *Store) Put(ctx context.Context, name string, data []byte) error {
+	_, err := s.call(ctx, fasthttp.MethodPut, name, data)
+	return err
+}
+
+// Delete implements platform.Objects.
+func (s *Store) Delete(ctx context.Context, name string) error {
+	_, err := s.call(ctx, fasthttp.MethodDelete, name, nil)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
+func (s *Store) call(ctx context.Context, method, name string, body []byte) ([]byte, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(s.endpoint + "/" + Bucket + "/" + url.PathEscape(name))
+	req.SetBodyRaw(body)
+	if err := s.http.DoDeadline(req, resp, deadline(ctx)); err != nil {
+		return nil, errors.Wrapf(platform.ErrUnavailable, "%s object %s: %v", method, name, err)
+	}
+	switch code := resp.StatusCode(); {
+	case code == fasthttp.StatusNotFound:
+		return nil, platform.ErrNotFound
+	case code >= fasthttp.StatusMultipleChoices:
+		return nil, errors.Wrapf(platform.ErrUnavailable, "%s object %s: status %d", method, name, code)
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+func deadline(ctx context.Context) time.Time {
+	own := time.Now().Add(callTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(own) {
+		return d
+	}
+	return own
+}
