--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -55,7 +55,7 @@
 	s := &settings.Settings{Name: "d", Zone: "a", Caller: freeAddress(t), Operator: freeAddress(t), Peer: freeAddress(t)}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
-	go func() { done <- standin.Serve(ctx, path) }()
+	go func() { done <- standin.Serve(ctx, path, standin.Platform{}) }()
 	go func() { done <- daemon.New(s, hclog.NewNullLogger()).Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -14,7 +14,9 @@
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/standin/engine"
 	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
+	"github.com/lagoonmux/lagoonmux/internal/standin/objects"
 	"github.com/lagoonmux/lagoonmux/internal/standin/plain"
+	"github.com/lagoonmux/lagoonmux/internal/standin/table"
 )
 
 const (
@@ -22,8 +24,16 @@
 	defaultDecode       = 10 * time.Millisecond
 )
 
-// Serve serves the upstreams of the manifest in the named file until ctx ends.
-func Serve(ctx context.Context, path string) error {
+// Platform holds the addresses at which stand-ins of the platform's services
+// are served. An empty address leaves the service out.
+type Platform struct {
+	Table   string
+	Objects string
+}
+
+// Serve serves the upstreams of the manifest in the named file, and the
+// platform's services, until ctx ends.
+func Serve(ctx context.Context, path string, p Platform) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "read manifest")
@@ -37,9 +47,19 @@
 		u := &m.Upstreams[i]
 		g.Go(func() error { return faults.New().Serve(gctx, u.Address, handler(m, u)) })
 	}
+	servePlatform(gctx, g, p)
 	return g.Wait()
 }
 
+func servePlatform(ctx context.Context, g *errgroup.Group, p Platform) {
+	if p.Table != "" {
+		g.Go(func() error { return faults.New().Serve(ctx, p.Table, table.New().Handle) })
+	}
+	if p.Objects != "" {
+		g.Go(func() error { return faults.New().Serve(ctx, p.Objects, objects.New().Handle) })
+	}
+}
+
 func handler(m *manifest.Manifest, u *manifest.Upstream) fasthttp.RequestHandler {
 	if manifest.NewActive(0, m).Service(u.Service).Kind == manifest.Plain {
 		return plain.NewCounter().Handle
