Routing: picker by expected time to the first token

Cause: every service was routed round-robin, whatever the prefix, the load or the speed of an upstream.

The pick takes candidates from a table of the rendezvous of each bucket of prefix hashes, from a fixed-size map of blocks to holders, and from three random samples, and scores them by expected time to the first token. Round-robin, least-in-flight and prefix-hash stay selectable.

Ruled out: hashing every upstream for each pick (cost grows with the fleet); a hyperbolic decay of bad evidence (an upstream that was slow stayed unused for minutes in TestSlowUpstreamIsEasedOutAndBackIn); a penalty for all upstreams without evidence (the first ones proven took all requests).

TestStaleLoadDrawsNoHerd: of 60 requests from six daemons on one old report, 27 go to the upstream reported idle, 42 without the correction for peers, 30 would level the queues.

--- a/internal/routing/baselines.go
+++ b/internal/routing/baselines.go
@@ -1,102 +1,79 @@
 package routing
 
-import (
-	"slices"
-	"sync/atomic"
-	"time"
+import "slices"
 
-	"github.com/cespare/xxhash/v2"
+// prefixHashBlocks is the number of leading blocks that must be equal.
+const prefixHashBlocks = 4
 
-	"github.com/lagoonmux/lagoonmux/internal/manifest"
-)
+// choice is the outcome of a pick.
+type choice struct {
+	node       *node
+	cached     int     // prompt tokens believed to be in the upstream's cache
+	expectedMS float64 // to the first token at the declared speed
+}
 
-// counters holds the attempts in flight of each upstream of this daemon. It
-// outlives the snapshots that share it.
-type counters struct {
-	inFlight []*atomic.Int64
+// picker chooses among the upstreams of one snapshot. pick may be called from
+// any goroutine, takes no lock and allocates nothing. now is in nanoseconds on
+// the router's clock. A nil node says that there is none.
+type picker interface {
+	pick(now int64, r *Request) choice
 }
 
-// leastInFlight is the baseline policy that takes the upstream with the fewest
-// attempts of this daemon in flight for each of its slots.
-type leastInFlight struct {
-	upstreams []*manifest.Upstream
-	counters  counters
+func (n *node) tried(r *Request) bool {
+	return len(r.Tried) > 0 && slices.Contains(r.Tried, n.upstream.Name)
 }
 
-// NewLeastInFlight returns a Picker that takes the upstream with the fewest
-// attempts in flight. inFlight holds one counter for each upstream.
-func NewLeastInFlight(upstreams []*manifest.Upstream, inFlight []*atomic.Int64) Picker {
-	return &leastInFlight{upstreams: upstreams, counters: counters{inFlight: inFlight}}
+// roundRobin is the baseline policy that takes upstreams in turn.
+type roundRobin struct{ *snapshot }
+
+func (p roundRobin) pick(_ int64, r *Request) choice {
+	for range p.nodes {
+		n := &p.nodes[p.shared.turn.Add(1)%uint64(len(p.nodes))]
+		if !n.tried(r) {
+			return choice{node: n}
+		}
+	}
+	return choice{}
 }
 
-// Pick implements Picker.
-func (p *leastInFlight) Pick(_ time.Time, r *Request) (*manifest.Upstream, error) {
-	var best *manifest.Upstream
+// leastInFlight is the baseline policy that takes the upstream with the fewest
+// attempts of this daemon in flight for each of its slots.
+type leastInFlight struct{ *snapshot }
+
+func (p leastInFlight) pick(_ int64, r *Request) choice {
+	var best choice
 	var least float64
-	offset := int(r.Random % uint64(max(len(p.upstreams), 1)))
-	for i := range p.upstreams {
-		j := (i + offset) % len(p.upstreams)
-		u := p.upstreams[j]
-		if slices.Contains(r.Tried, u.Name) {
+	offset := int(r.Random % uint64(max(len(p.nodes), 1)))
+	for i := range p.nodes {
+		n := &p.nodes[(i+offset)%len(p.nodes)]
+		load := float64(n.inFlight.Load()) / n.slots
+		if n.tried(r) || best.node != nil && load >= least {
 			continue
 		}
-		load := float64(p.counters.inFlight[j].Load()) / float64(u.Slots)
-		if best == nil || load < least {
-			best, least = u, load
-		}
+		best.node, least = n, load
 	}
-	if best == nil {
-		return nil, ErrNoUpstream
-	}
-	return best, nil
+	return best
 }
 
 // prefixHash is the baseline policy that sends equal prefixes to the same
 // upstream by rendezvous hashing, whatever its load.
-type prefixHash struct {
-	upstreams []*manifest.Upstream
-	hashes    []uint64
-}
-
-// prefixHashBlocks is the number of leading blocks that must be equal.
-const prefixHashBlocks = 4
+type prefixHash struct{ *snapshot }
 
-// NewPrefixHash returns a Picker that sends equal prefixes to the same upstream.
-func NewPrefixHash(upstreams []*manifest.Upstream) Picker {
-	p := &prefixHash{upstreams: upstreams, hashes: make([]uint64, len(upstreams))}
-	for i, u := range upstreams {
-		p.hashes[i] = xxhash.Sum64String(u.Name)
+func (p prefixHash) pick(_ int64, r *Request) choice {
+	if len(p.nodes) == 0 {
+		return choice{}
 	}
-	return p
-}
-
-// Pick implements Picker.
-func (p *prefixHash) Pick(_ time.Time, r *Request) (*manifest.Upstream, error) {
 	key := r.Random
 	if len(r.Blocks) > 0 {
 		key = r.Blocks[min(len(r.Blocks), prefixHashBlocks)-1]
 	}
-	var best *manifest.Upstream
-	var highest uint64
-	for i, u := range p.upstreams {
-		if slices.Contains(r.Tried, u.Name) {
-			continue
-		}
-		if score := mix(key ^ p.hashes[i]); best == nil || score > highest {
-			best, highest = u, score
+	for range len(p.nodes) {
+		for _, i := range p.winners(key) {
+			if n := &p.nodes[i]; !n.tried(r) {
+				return choice{node: n}
+			}
 		}
+		key = mix(key)
 	}
-	if best == nil {
-		return nil, ErrNoUpstream
-	}
-	return best, nil
-}
-
-// mix spreads x over all 64 bits (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+	return roundRobin(p).pick(0, r)
 }
--- /dev/null
+++ b/internal/routing/expected.go
@@ -0,0 +1,323 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+)
+
+const (
+	blockTokens     = 16
+	maxCandidates   = 24
+	samples         = 3 // candidates taken at random
+	boundedLoad     = 1.25
+	failureCostMS   = 500.0
+	maxFailures     = 0.95
+	coldShare       = 1.0  // part of the expected time added for each attempt in flight at an upstream without evidence
+	urgentQueue     = 0.25 // part of the queue that is ahead of an urgent request
+	overrunCost     = 4.0  // for a millisecond past the deadline or target
+	lotPriceShare   = 0.5  // of the computing time, for a price twice the cheapest
+	priceShare      = 0.1
+	recomputeWeight = 1.5 // a recomputed token delays other requests too
+	maxDearness     = 4.0
+)
+
+// Terms selects terms of the score of the policy expected. Benches switch
+// single terms off; the daemon uses AllTerms.
+type Terms uint16
+
+// Terms of the score.
+const (
+	TermCache   Terms = 1 << iota // prompt tokens believed cached
+	TermQueue                     // reported queue, corrected for its lag
+	TermPeers                     // assumption that peers send as much as this daemon
+	TermSpeed                     // learnt speed
+	TermFailure                   // recent failures
+	TermCold                      // upstreams without evidence
+	TermKV                        // pressure on KV memory
+	TermBound                     // bounded load
+	TermPrice                     // price and reclaim risk
+	TermLate                      // cost of missing deadline or target
+	TermSample                    // candidates taken at random
+	AllTerms    = 1<<iota - 1
+)
+
+// expected is the policy that takes the candidate with the least expected time
+// to the first token, corrected by price and risk.
+type expected struct {
+	*snapshot
+	prefixes *prefixMap
+	terms    Terms
+	peers    float64 // requests of all daemons for each of this daemon's
+}
+
+// candidate is an upstream under consideration.
+type candidate struct {
+	index  int32
+	blocks int // leading blocks believed cached
+}
+
+// candidates is a small set on the stack of one pick.
+type candidates struct {
+	list [maxCandidates]candidate
+	n    int
+}
+
+func (c *candidates) add(index int32, blocks int) {
+	for i := range c.list[:c.n] {
+		if c.list[i].index == index {
+			c.list[i].blocks = max(c.list[i].blocks, blocks)
+			return
+		}
+	}
+	if c.n < maxCandidates {
+		c.list[c.n] = candidate{index: index, blocks: blocks}
+		c.n++
+	}
+}
+
+func (p *expected) pick(now int64, r *Request) choice {
+	if len(p.nodes) == 0 {
+		return choice{}
+	}
+	var set candidates
+	common := 0
+	if len(r.Blocks) > 0 {
+		common = p.addHolders(&set, r.Blocks)
+		p.addWinners(&set, r.Blocks)
+	}
+	p.addSamples(&set, r)
+	best := p.best(&set, now, r, common)
+	if best.node == nil {
+		return p.fallback(now, r, common)
+	}
+	return best
+}
+
+// addHolders searches for the deepest block that any upstream holds and adds
+// the holders met on the way. It returns the depth down to which so many
+// upstreams hold the prefix that all are taken to.
+func (p *expected) addHolders(set *candidates, blocks []uint64) int {
+	common := 0
+	low, high := 0, len(blocks)
+	for low < high {
+		depth := (low + high + 1) / 2
+		holders := p.addHoldersOf(set, blocks[depth-1], depth)
+		if holders == 0 {
+			high = depth - 1
+			continue
+		}
+		low = depth
+		if holders >= min(holdersPerBucket, len(p.nodes)) {
+			common = depth
+		}
+	}
+	return common
+}
+
+func (p *expected) addHoldersOf(set *candidates, block uint64, depth int) int {
+	holders := 0
+	b := p.prefixes.bucket(block)
+	for i := range b {
+		e := entry(b[i].Load())
+		if e == 0 || !e.covers(block) {
+			continue
+		}
+		index, ok := p.node(e.id())
+		if !ok || uint16(p.nodes[index].generation.Load()) != e.generation() {
+			continue
+		}
+		holders++
+		set.add(index, depth)
+	}
+	return holders
+}
+
+// addWinners adds the rendezvous of the prefix at a few depths.
+func (p *expected) addWinners(set *candidates, blocks []uint64) {
+	for depth := prefixHashBlocks; ; depth *= 4 {
+		depth = min(depth, len(blocks))
+		for _, i := range p.winners(blocks[depth-1]) {
+			set.add(i, 0)
+		}
+		if depth == len(blocks) {
+			return
+		}
+	}
+}
+
+func (p *expected) addSamples(set *candidates, r *Request) {
+	count := samples
+	if len(r.Blocks) == 0 {
+		count = 2 * samples
+	}
+	if p.terms&TermSample == 0 && set.n > 0 {
+		return
+	}
+	x := r.Random
+	for range count {
+		x = mix(x + 0x9e3779b97f4a7c15)
+		set.add(int32(x%uint64(len(p.nodes))), 0)
+	}
+}
+
+// best returns the candidate of the least score, with preference for those
+// within the load bound.
+func (p *expected) best(set *candidates, now int64, r *Request, common int) choice {
+	var best choice
+	var least float64
+	bound := p.loadBound()
+	for i := range set.list[:set.n] {
+		c := &set.list[i]
+		n := &p.nodes[c.index]
+		if n.tried(r) {
+			continue
+		}
+		ch, score := p.score(n, now, r, max(c.blocks, common))
+		if r.Class != manifest.Urgent && n.takeProbe(now, p.peers) {
+			return ch
+		}
+		if p.terms&TermBound != 0 && float64(n.inFlight.Load()) > bound*n.slots+1 {
+			score += p.boundCost()
+		}
+		if best.node == nil || score < least {
+			best, least = ch, score
+		}
+	}
+	return best
+}
+
+// loadBound returns the attempts in flight for each slot above which an
+// upstream is avoided.
+func (p *expected) loadBound() float64 {
+	return boundedLoad * float64(p.shared.inFlight.Load()) / max(p.shared.slots(), 1)
+}
+
+func (p *expected) boundCost() float64 {
+	if p.targetM > 0 {
+		return p.targetM
+	}
+	return failureCostMS
+}
+
+// fallback looks at every upstream; it serves calls that tried all candidates.
+func (p *expected) fallback(now int64, r *Request, common int) choice {
+	var best choice
+	var least float64
+	for i := range p.nodes {
+		n := &p.nodes[i]
+		if n.tried(r) {
+			continue
+		}
+		if ch, score := p.score(n, now, r, common); best.node == nil || score < least {
+			best, least = ch, score
+		}
+	}
+	return best
+}
+
+// score returns the cost of sending r to n in milliseconds, less being better.
+func (p *expected) score(n *node, now int64, r *Request, blocks int) (choice, float64) {
+	ch := choice{node: n}
+	if p.terms&TermCache != 0 {
+		ch.cached = min(int(float64(blocks*blockTokens)*n.trust.load()), r.PromptTokens)
+	}
+	compute := float64(r.PromptTokens-ch.cached) / n.speed
+	queue := p.queueMS(n, now, r.Class)
+	ch.expectedMS = compute + queue
+	total := compute*recomputeWeight + queue
+	if p.terms&TermSpeed != 0 {
+		total = (total + slownessFloorMS) * n.slownessAt(now)
+	}
+	if p.terms&TermCold != 0 {
+		total *= 1 + coldShare*float64(n.inFlight.Load())/float64(1+n.proven.Load())
+	}
+	if p.terms&TermFailure != 0 {
+		f := min(n.failuresAt(now), maxFailures)
+		total += failureCostMS * f / (1 - f)
+	}
+	if p.terms&TermKV != 0 {
+		total += kvMS(n, r)
+	}
+	if p.terms&TermLate != 0 {
+		total += p.lateMS(total, now, r)
+	}
+	if p.terms&TermPrice != 0 {
+		total += priceMS(n, r, compute)
+	}
+	return ch, total
+}
+
+// queueMS estimates the wait before the prompt's first token is computed.
+func (p *expected) queueMS(n *node, now int64, class manifest.Class) float64 {
+	own := float64(n.pending.Load())
+	flight := float64(n.inFlight.Load())
+	tokens, requests := own, flight
+	if p.terms&TermQueue != 0 {
+		tokens, requests = p.corrected(n, now, own, flight)
+	}
+	if class == manifest.Urgent {
+		tokens *= urgentQueue
+	}
+	wait := tokens / n.speed
+	if over := requests + 1 - n.slots; over > 0 {
+		wait += over * n.serviceMS.load() / n.slots
+	}
+	return wait
+}
+
+// corrected returns the tokens waiting and the requests at the upstream: its
+// report, plus what was sent since it was measured, minus what it can have
+// computed since. Peers are taken to send like this daemon, so that a report
+// that all of them hold draws no herd.
+func (p *expected) corrected(n *node, now int64, own, flight float64) (tokens, requests float64) {
+	peers := 1.0
+	if p.terms&TermPeers != 0 {
+		peers = p.peers
+	}
+	l := n.load.Load()
+	if l == nil || now-l.at > int64(maxLoadAge) {
+		return own * peers, flight * peers
+	}
+	ageMS := float64(max(now-l.at, 0)) / float64(time.Millisecond)
+	since := float64(n.sent.Load()-l.sentThen) * peers
+	done := ageMS * n.speed / n.slownessAt(now)
+	tokens = max(float64(l.WaitingTokens)+since-done, own)
+	change := (flight - float64(l.ownThen)) * peers
+	requests = max(float64(l.Running+l.Waiting)+change, flight)
+	return tokens, requests
+}
+
+// kvMS is the cost of evicting or preempting for a request that does not fit.
+func kvMS(n *node, r *Request) float64 {
+	l := n.load.Load()
+	if l == nil || l.KVCapacity == 0 {
+		return 0
+	}
+	missing := r.PromptTokens + r.MaxTokens + l.KVUsed - l.KVCapacity
+	return max(float64(missing), 0) / n.speed
+}
+
+// lateMS is the cost of the time beyond the deadline and the target.
+func (p *expected) lateMS(total float64, now int64, r *Request) float64 {
+	late := 0.0
+	if p.targetM > 0 && r.Class != manifest.Lot {
+		late = max(total-p.targetM, 0)
+	}
+	if !r.Deadline.IsZero() {
+		left := float64(p.shared.clock.of(r.Deadline)-now) / float64(time.Millisecond)
+		late = max(late, total-left, 0)
+	}
+	return late * overrunCost
+}
+
+// priceMS is the price of the VM and of a reclaim while the request runs.
+func priceMS(n *node, r *Request, compute float64) float64 {
+	share := priceShare
+	if r.Class == manifest.Lot {
+		share = lotPriceShare
+	}
+	price := min(n.dearness, maxDearness) * share * compute
+	lost := float64(r.PromptTokens+r.MaxTokens) / n.speed
+	return price + n.risk*n.serviceMS.load()*lost
+}
--- /dev/null
+++ b/internal/routing/prefixmap.go
@@ -0,0 +1,79 @@
+package routing
+
+import "sync/atomic"
+
+const (
+	holdersPerBucket = 8 // one cache line
+	prefixBuckets    = 1 << 16
+)
+
+// prefixMap remembers which upstreams hold which block of a prompt prefix. It
+// has a fixed size and forgets at random when full. Its methods may be called
+// from any goroutine; a lost update costs an estimate, not correctness.
+type prefixMap struct {
+	buckets []bucket
+}
+
+// bucket holds entries of blocks with the same low bits.
+type bucket [holdersPerBucket]atomic.Uint64
+
+// entry packs the high 32 bits of a block's hash, the id of an upstream (16
+// bits) and the generation of that upstream's cache (16 bits).
+type entry uint64
+
+func newEntry(block uint64, id uint16, generation uint32) entry {
+	return entry(block&^0xffffffff | uint64(id)<<16 | uint64(uint16(generation)))
+}
+
+func (e entry) id() uint16               { return uint16(e >> 16) }
+func (e entry) generation() uint16       { return uint16(e) }
+func (e entry) covers(block uint64) bool { return uint64(e)^block < 1<<32 }
+
+func newPrefixMap() *prefixMap {
+	return &prefixMap{buckets: make([]bucket, prefixBuckets)}
+}
+
+func (m *prefixMap) bucket(block uint64) *bucket {
+	return &m.buckets[block&(prefixBuckets-1)]
+}
+
+// store notes that the upstream holds block.
+func (m *prefixMap) store(block uint64, r *runner) {
+	b := m.bucket(block)
+	e := newEntry(block, r.id, r.generation.Load())
+	free := -1
+	for i := range b {
+		old := entry(b[i].Load())
+		if old.covers(block) && old.id() == r.id {
+			b[i].Store(uint64(e))
+			return
+		}
+		if old == 0 {
+			free = i
+		}
+	}
+	if free < 0 {
+		free = int(mix(block^uint64(r.id)^b[0].Load()) % holdersPerBucket)
+	}
+	b[free].Store(uint64(e))
+}
+
+// evict notes that the upstream no longer holds block.
+func (m *prefixMap) evict(block uint64, r *runner) {
+	b := m.bucket(block)
+	for i := range b {
+		old := entry(b[i].Load())
+		if old.covers(block) && old.id() == r.id {
+			b[i].CompareAndSwap(uint64(old), 0)
+		}
+	}
+}
+
+// mix spreads x over all 64 bits (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -1,106 +1,235 @@
 package routing
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 )
 
-// State is what membership knows of an upstream.
-type State int
+// clock converts times to nanoseconds since the first time it met. Where both
+// carry a monotonic reading, steps of the wall clock have no effect. It never
+// returns less than 0.
+type clock struct {
+	origin atomic.Pointer[time.Time]
+}
 
-// States of an upstream.
-const (
-	Live    State = iota
-	Suspect       // silent for a while; no new work while others are live
-	Leaving       // reclaimed or stopping: no new work
-	Dead
-)
+func (c *clock) of(t time.Time) int64 {
+	o := c.origin.Load()
+	if o == nil {
+		first := t.Add(-maxLoadAge)
+		c.origin.CompareAndSwap(nil, &first)
+		o = c.origin.Load()
+	}
+	return max(int64(t.Sub(*o)), 0)
+}
 
-// Member is one upstream and its state.
-type Member struct {
-	Upstream *manifest.Upstream
-	State    State
+// serviceState is what the snapshots of one service share.
+type serviceState struct {
+	turn     atomic.Uint64 // of round-robin
+	inFlight atomic.Int64  // attempts of this daemon
+	total    atomicFloat   // slots of the newest snapshot
+	clock    *clock
 }
 
-// Result is how an attempt ended.
-type Result int
+func (s *serviceState) slots() float64 { return s.total.load() }
 
-// Results of an attempt.
-const (
-	Succeeded Result = iota
-	Failed           // error, cut or no progress
-	Refused          // refused by protocol, not run
-	Canceled         // the caller or a hedge ended it; says nothing about the upstream
-)
+// view is the set of pickers in force.
+type view struct {
+	pickers map[string]picker
+	runners map[string]*runner
+	shared  map[string]*serviceState
+}
 
-// LoadReport is what an upstream says of its load. It arrives with a lag.
-type LoadReport struct {
-	Upstream      string    `json:"upstream"`
-	At            time.Time `json:"at"`             // when the upstream measured
-	Epoch         int64     `json:"epoch"`          // changes when the upstream restarts, which empties its cache
-	Running       int       `json:"running"`        // requests in the batch
-	Waiting       int       `json:"waiting"`        // requests in its queue
-	WaitingTokens int       `json:"waiting_tokens"` // prompt tokens still to prefill
-	KVUsed        int       `json:"kv_used_tokens"`
-	KVCapacity    int       `json:"kv_capacity_tokens"`
-	Leaving       bool      `json:"leaving,omitempty"`       // it will stop and takes no new work
-	LeavingInMS   int64     `json:"leaving_in_ms,omitempty"` // until it stops
-}
-
-// Router holds the pickers of all services and learns from attempts and load
-// reports. Its methods may be called from any goroutine.
+// Router holds the pickers of all services and learns from attempts, load
+// reports and cache events. Its methods may be called from any goroutine.
 type Router struct {
-	set atomic.Pointer[map[string]Picker]
+	view     atomic.Pointer[view]
+	clock    clock
+	prefixes *prefixMap
+	terms    Terms
+	stats    counters
+
+	mu      sync.Mutex // serialises rebuilds
+	active  *manifest.Active
+	members []Member
+	peers   float64
+	freeIDs []uint16
+	nextID  uint16
 }
 
 // NewRouter returns a router that knows no upstream.
-func NewRouter() *Router { return &Router{} }
+func NewRouter() *Router { return NewRouterWith(AllTerms) }
+
+// NewRouterWith returns a router whose policy expected uses only the given
+// terms.
+func NewRouterWith(terms Terms) *Router {
+	r := &Router{prefixes: newPrefixMap(), terms: terms, peers: 1}
+	r.view.Store(&view{})
+	return r
+}
 
 // Update rebuilds the pickers for a manifest and the members known of it.
 func (r *Router) Update(a *manifest.Active, members []Member) {
-	byService := make(map[string][]*manifest.Upstream, len(a.Services))
-	for _, m := range members {
-		if m.State == Live {
-			byService[m.Upstream.Service] = append(byService[m.Upstream.Service], m.Upstream)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active, r.members = a, members
+	r.rebuild()
+}
+
+// SetShare tells which part of all requests this daemon receives, from above
+// 0 to 1. The default is 1.
+func (r *Router) SetShare(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	peers := 1 / min(max(share, 1e-4), 1)
+	if peers == r.peers {
+		return
+	}
+	r.peers = peers
+	if r.active != nil {
+		r.rebuild()
+	}
+}
+
+func (r *Router) rebuild() {
+	old := r.view.Load()
+	next := &view{
+		pickers: make(map[string]picker, len(r.active.Services)),
+		runners: r.keepRunners(old.runners),
+		shared:  make(map[string]*serviceState, len(r.active.Services)),
+	}
+	nodes := r.usable(next.runners)
+	for i := range r.active.Services {
+		s := &r.active.Services[i]
+		shared := old.shared[s.Name]
+		if shared == nil {
+			shared = &serviceState{clock: &r.clock}
+		}
+		next.shared[s.Name] = shared
+		next.pickers[s.Name] = r.newPicker(s, nodes[s.Name], shared)
+	}
+	r.view.Store(next)
+}
+
+// keepRunners returns the state of every member, new where there was none.
+func (r *Router) keepRunners(old map[string]*runner) map[string]*runner {
+	kept := make(map[string]*runner, len(r.members))
+	for _, m := range r.members {
+		name := m.Upstream.Name
+		if kept[name] = old[name]; kept[name] == nil {
+			kept[name] = newRunner(r.newID())
+		}
+	}
+	for name, x := range old {
+		if kept[name] == nil {
+			r.freeIDs = append(r.freeIDs, x.id)
 		}
 	}
-	set := make(map[string]Picker, len(a.Services))
-	for i := range a.Services {
-		name := a.Services[i].Name
-		set[name] = NewRoundRobin(byService[name])
+	return kept
+}
+
+// newID returns an id that no member has. Entries of the prefix map under a
+// reused id are wrong until they are replaced; cached tokens reported by the
+// upstream correct the estimate.
+func (r *Router) newID() uint16 {
+	if len(r.freeIDs) > 0 {
+		id := r.freeIDs[0]
+		r.freeIDs = r.freeIDs[1:]
+		return id
 	}
-	r.set.Store(&set)
+	r.nextID++
+	return r.nextID
 }
 
-// ObserveLoad takes in a load report of an upstream.
-func (r *Router) ObserveLoad(time.Time, LoadReport) {}
+// usable returns the nodes of each service that may take work: the live ones,
+// or the suspect ones where none is live.
+func (r *Router) usable(runners map[string]*runner) map[string][]node {
+	live := make(map[string][]node)
+	suspect := make(map[string][]node)
+	for _, m := range r.members {
+		n := node{runner: runners[m.Upstream.Name], upstream: m.Upstream}
+		switch m.State {
+		case Live:
+			live[m.Upstream.Service] = append(live[m.Upstream.Service], n)
+		case Suspect:
+			suspect[m.Upstream.Service] = append(suspect[m.Upstream.Service], n)
+		}
+	}
+	for service, nodes := range suspect {
+		if len(live[service]) == 0 {
+			live[service] = nodes
+		}
+	}
+	return live
+}
 
-// Attempt is one attempt in flight at an upstream. It belongs to one
-// goroutine, which must call Done once.
-type Attempt struct {
-	Upstream *manifest.Upstream
+func (r *Router) newPicker(s *manifest.Service, nodes []node, shared *serviceState) picker {
+	v := newSnapshot(r.active, s, nodes, int(r.nextID)+1, shared)
+	slots := 0.0
+	for i := range nodes {
+		slots += nodes[i].slots
+	}
+	shared.total.store(slots)
+	switch s.Policy {
+	case manifest.RoundRobin:
+		return roundRobin{v}
+	case manifest.LeastInFlight:
+		return leastInFlight{v}
+	case manifest.PrefixHash:
+		return prefixHash{v}
+	default:
+		return &expected{snapshot: v, prefixes: r.prefixes, terms: r.terms, peers: r.peers}
+	}
 }
 
-// Begin picks an upstream for the request and counts the attempt in flight
-// there. It returns ErrNoUpstream when none may take it.
-func (r *Router) Begin(now time.Time, req *Request) (Attempt, error) {
-	set := r.set.Load()
-	if set == nil {
-		return Attempt{}, ErrNoUpstream
+// ObserveLoad takes in a load report of an upstream that arrived at now.
+func (r *Router) ObserveLoad(now time.Time, report LoadReport) {
+	x := r.view.Load().runners[report.Upstream]
+	if x == nil {
+		return
 	}
-	p, ok := (*set)[req.Service]
-	if !ok {
-		return Attempt{}, ErrNoUpstream
+	t := r.clock.of(now)
+	x.observeEpoch(report.Epoch)
+	l := &load{LoadReport: report, at: r.clock.of(report.At)}
+	l.at = min(max(l.at, t-int64(maxLoadAge)), t)
+	old := x.load.Load()
+	if old != nil && old.Epoch == report.Epoch && old.at > l.at {
+		return
 	}
-	u, err := p.Pick(now, req)
-	return Attempt{Upstream: u}, err
+	l.sentThen, l.ownThen = x.history.at(l.at, t, x.sent.Load(), x.inFlight.Load())
+	x.load.Store(l)
 }
 
-// FirstToken reports the first token, and how many tokens of the prompt the
-// upstream found in its cache.
-func (a *Attempt) FirstToken(_ time.Time, _ int) {}
+// ObserveCache takes in changes of an upstream's prefix cache.
+func (r *Router) ObserveCache(ev CacheEvents) {
+	x := r.view.Load().runners[ev.Upstream]
+	if x == nil {
+		return
+	}
+	x.observeEpoch(ev.Epoch)
+	for _, b := range ev.Stored {
+		r.prefixes.store(b, x)
+	}
+	for _, b := range ev.Evicted {
+		r.prefixes.evict(b, x)
+	}
+}
 
-// Done reports the end of the attempt.
-func (a *Attempt) Done(time.Time, Result) {}
+// observeEpoch forgets the cache of an upstream that has restarted.
+func (r *runner) observeEpoch(epoch int64) {
+	for {
+		old := r.epoch.Load()
+		if epoch <= old {
+			return // a late message of an earlier epoch
+		}
+		if !r.epoch.CompareAndSwap(old, epoch) {
+			continue
+		}
+		if old != 0 {
+			r.restarted()
+		}
+		return
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,8 +1,9 @@
 // Package routing chooses the upstream for each attempt of a call.
 //
-// A Picker is an immutable snapshot that is rebuilt when membership or the
-// manifest changes, so that the path of a request only reads. Time and
-// randomness come in as arguments.
+// A picker is an immutable snapshot that is rebuilt when membership or the
+// manifest changes, so that the path of a request takes no lock. What is
+// learnt of an upstream (speed, failures, load, cached prefixes) outlives the
+// snapshots. Time and randomness come in as arguments.
 package routing
 
 import (
@@ -28,8 +29,53 @@
 	Random       uint64
 }
 
-// Picker chooses among the upstreams of one snapshot. Pick may be called from
-// any goroutine, takes no lock and allocates nothing.
-type Picker interface {
-	Pick(now time.Time, r *Request) (*manifest.Upstream, error)
+// State is what membership knows of an upstream.
+type State int
+
+// States of an upstream.
+const (
+	Live    State = iota
+	Suspect       // silent for a while; no new work while others are live
+	Leaving       // reclaimed or stopping: no new work
+	Dead
+)
+
+// Member is one upstream and its state.
+type Member struct {
+	Upstream *manifest.Upstream
+	State    State
+}
+
+// Result is how an attempt ended.
+type Result int
+
+// Results of an attempt.
+const (
+	Succeeded Result = iota
+	Failed           // error, cut or no progress
+	Refused          // refused by protocol, not run
+	Canceled         // the caller or a hedge ended it; says nothing about the upstream
+)
+
+// LoadReport is what an upstream says of its load. It arrives with a lag.
+type LoadReport struct {
+	Upstream      string    `json:"upstream"`
+	At            time.Time `json:"at"`             // when the upstream measured
+	Epoch         int64     `json:"epoch"`          // changes when the upstream restarts, which empties its cache
+	Running       int       `json:"running"`        // requests in the batch
+	Waiting       int       `json:"waiting"`        // requests in its queue
+	WaitingTokens int       `json:"waiting_tokens"` // prompt tokens still to prefill
+	KVUsed        int       `json:"kv_used_tokens"`
+	KVCapacity    int       `json:"kv_capacity_tokens"`
+	Leaving       bool      `json:"leaving,omitempty"`
+	LeavingInMS   int64     `json:"leaving_in_ms,omitempty"` // milliseconds left, if leaving
+}
+
+// CacheEvents is a batch of changes of one upstream's prefix cache. Batches
+// arrive late and events may be missing.
+type CacheEvents struct {
+	Upstream string
+	Epoch    int64
+	Stored   []uint64 // blocks
+	Evicted  []uint64
 }
