--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,76 @@
+// Package limits decides which requests may run now: each customer within its
+// limits, which all daemons share, urgent classes first, and fairly between
+// customers. What cannot start in time is refused at once.
+//
+// The package has no clock and no sockets. A Limiter belongs to one goroutine;
+// times come in as arguments and decisions go out through a function.
+package limits
+
+import (
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+)
+
+// never is a wait that no caller's patience reaches.
+const never = 24 * time.Hour
+
+// Reason tells why a request was refused.
+type Reason string
+
+// Reasons of a refusal.
+const (
+	OverLimit  Reason = "over-limit"  // the customer's own limits
+	Overloaded Reason = "overloaded"  // the service cannot start it in time
+	QueueFull  Reason = "queue-full"  // the customer's queue is at its bound
+	NoCapacity Reason = "no-capacity" // no upstream of the service is live
+)
+
+// Item is one request from its arrival to its end. The fields of the first
+// group are set by the caller and not changed afterwards.
+type Item struct {
+	Customer string
+	Service  string
+	Class    manifest.Class
+	Tokens   int       // of the prompt and of the longest answer; 0 for a plain service
+	Deadline time.Time // end of the caller's patience
+
+	state    itemState
+	customer *customer
+	service  *service
+	cost     float64
+	start    float64       // start tag of fair queueing
+	latest   time.Duration // after which starting is useless
+	admitted time.Duration
+}
+
+type itemState int
+
+const (
+	itemNew itemState = iota
+	itemQueued
+	itemRunning
+	itemEnded
+)
+
+// Decision is the fate of one item.
+type Decision struct {
+	Item       *Item
+	Admitted   bool
+	Reason     Reason        // of a refusal
+	RetryAfter time.Duration // after which a retry has a chance
+}
+
+// Capacity is what the upstreams of one service can take.
+type Capacity struct {
+	Service string
+	Slots   int // of all live upstreams
+	Free    int // slots that no daemon uses, estimated
+}
+
+// Stats counts the decisions of one customer and class.
+type Stats struct {
+	Admitted int64            `json:"admitted"`
+	Refused  map[Reason]int64 `json:"refused"`
+	Queued   int              `json:"queued"`
+}
