--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,196 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/lagoonmux/lagoonmux/internal/peer/peerpb"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	maxIdle     = 128             // connections kept over all peers
+	idleLimit   = 2 * time.Minute // an older idle connection may have gone silent
+)
+
+// Client calls other daemons over kept connections. A call that fails on a kept
+// connection is repeated once on a new one, since a silent connection says
+// nothing about the peer. Its methods may be called from any goroutine.
+type Client struct {
+	tls     *tls.Config
+	traffic *Traffic
+
+	mu   sync.Mutex
+	idle map[string]*kept
+}
+
+// kept is an idle connection.
+type kept struct {
+	conn  *drpcconn.Conn
+	since time.Time
+}
+
+// Traffic counts the bytes of all calls between daemons, both ways.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// NewClient returns a client. A nil config means plain TCP. Bytes are counted
+// in traffic.
+func NewClient(config *tls.Config, traffic *Traffic) *Client {
+	return &Client{tls: config, traffic: traffic, idle: make(map[string]*kept)}
+}
+
+// Exchange sends records to the peer at address and returns its records.
+// Each of the two tries gets the given timeout.
+func (c *Client) Exchange(ctx context.Context, address string, timeout time.Duration, req *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
+	return call(ctx, c, address, "exchange", timeout, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.ExchangeResponse, error) {
+		return p.Exchange(ctx, req)
+	})
+}
+
+// Confirm asks the peer at address whether it reaches the daemon at target.
+func (c *Client) Confirm(ctx context.Context, address string, timeout time.Duration, target string) (bool, error) {
+	resp, err := call(ctx, c, address, "confirm", timeout, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.ConfirmResponse, error) {
+		return p.Confirm(ctx, &peerpb.ConfirmRequest{Address: target})
+	})
+	return err == nil && resp.Reached, err
+}
+
+// Manifest returns the manifest in force at the peer at address.
+func (c *Client) Manifest(ctx context.Context, address string, timeout time.Duration) (*peerpb.ManifestResponse, error) {
+	return call(ctx, c, address, "manifest", timeout, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.ManifestResponse, error) {
+		return p.Manifest(ctx, &peerpb.ManifestRequest{})
+	})
+}
+
+// HandOver gives accepted work of the given kind to the peer at address. It is
+// tried once, on a new connection; after an error the peer may have taken it.
+func (c *Client) HandOver(ctx context.Context, address string, timeout time.Duration, req *peerpb.HandOverRequest) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return false, errors.Wrapf(err, "hand over to %s", address)
+	}
+	defer conn.Close()
+	resp, err := peerpb.NewDRPCPeerClient(conn).HandOver(ctx, req)
+	if err != nil {
+		return false, errors.Wrapf(err, "hand over to %s", address)
+	}
+	return resp.Accepted, nil
+}
+
+// call runs one call on a kept connection and, if that fails, on a new one.
+func call[T any](ctx context.Context, c *Client, address, step string, timeout time.Duration, do func(context.Context, peerpb.DRPCPeerClient) (T, error)) (T, error) {
+	if conn := c.take(address, time.Now()); conn != nil {
+		if resp, err := once(ctx, c, conn, address, timeout, do); err == nil {
+			return resp, nil
+		}
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, min(timeout, dialTimeout))
+	defer cancel()
+	conn, err := c.dial(dialCtx, address)
+	if err != nil {
+		var none T
+		return none, errors.Wrapf(err, "%s with %s", step, address)
+	}
+	resp, err := once(ctx, c, conn, address, timeout, do)
+	return resp, errors.Wrapf(err, "%s with %s", step, address)
+}
+
+// once runs one call on conn, which is kept afterwards if the call succeeded.
+func once[T any](ctx context.Context, c *Client, conn *drpcconn.Conn, address string, timeout time.Duration, do func(context.Context, peerpb.DRPCPeerClient) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := do(ctx, peerpb.NewDRPCPeerClient(conn))
+	if err != nil {
+		conn.Close()
+		return resp, err
+	}
+	c.put(address, conn, time.Now())
+	return resp, nil
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	nc = &countingConn{Conn: nc, traffic: c.traffic}
+	if c.tls != nil {
+		config := c.tls.Clone()
+		config.ServerName, _, _ = net.SplitHostPort(address)
+		tc := tls.Client(nc, config)
+		if err := tc.HandshakeContext(ctx); err != nil {
+			nc.Close()
+			return nil, err
+		}
+		nc = tc
+	}
+	return drpcconn.New(nc), nil
+}
+
+func (c *Client) take(address string, now time.Time) *drpcconn.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := c.idle[address]
+	delete(c.idle, address)
+	if k == nil {
+		return nil
+	}
+	if now.Sub(k.since) > idleLimit {
+		k.conn.Close()
+		return nil
+	}
+	return k.conn
+}
+
+func (c *Client) put(address string, conn *drpcconn.Conn, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle == nil || c.idle[address] != nil || len(c.idle) >= maxIdle {
+		conn.Close()
+		return
+	}
+	c.idle[address] = &kept{conn: conn, since: now}
+}
+
+// Close closes the idle connections. Later calls keep none.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.idle {
+		k.conn.Close()
+	}
+	c.idle = nil
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.Sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,112 @@
+// Package peer carries the calls between daemons: drpc with protobuf over TCP,
+// with mutual TLS where the settings name certificates.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/lagoonmux/lagoonmux/internal/peer/peerpb"
+	"github.com/lagoonmux/lagoonmux/internal/settings"
+)
+
+// Handlers answers the calls of other daemons. Its methods are called from many
+// goroutines.
+type Handlers struct {
+	Exchange func(context.Context, *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error)
+	Confirm  func(context.Context, string) bool
+	Manifest func(context.Context) *peerpb.ManifestResponse
+	HandOver func(ctx context.Context, from, kind string, body []byte) bool
+}
+
+// Serve answers calls on l until ctx ends, and closes l. A nil config means
+// plain TCP. Bytes are counted in traffic.
+func Serve(ctx context.Context, l net.Listener, config *tls.Config, traffic *Traffic, h Handlers) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &service{h: h}); err != nil {
+		return errors.Wrap(err, "register peer service")
+	}
+	l = &countingListener{Listener: l, traffic: traffic}
+	if config != nil {
+		l = tls.NewListener(l, config)
+	}
+	err := drpcserver.New(mux).Serve(ctx, l)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrapf(err, "serve peers at %s", l.Addr())
+}
+
+// TLSConfig reads the certificate, key and authorities that t names, for mutual
+// TLS as server and as client. It returns nil if t is nil.
+func TLSConfig(t *settings.TLS) (*tls.Config, error) {
+	if t == nil {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "load certificate")
+	}
+	pem, err := os.ReadFile(t.Authorities)
+	if err != nil {
+		return nil, errors.Wrap(err, "read authorities")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("read authorities: no certificate in %s", t.Authorities)
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}, nil
+}
+
+// service adapts Handlers to the generated interface.
+type service struct {
+	peerpb.DRPCPeerUnimplementedServer
+	h Handlers
+}
+
+// Exchange implements peerpb.DRPCPeerServer.
+func (s *service) Exchange(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
+	return s.h.Exchange(ctx, req)
+}
+
+// Confirm implements peerpb.DRPCPeerServer.
+func (s *service) Confirm(ctx context.Context, req *peerpb.ConfirmRequest) (*peerpb.ConfirmResponse, error) {
+	return &peerpb.ConfirmResponse{Reached: s.h.Confirm(ctx, req.Address)}, nil
+}
+
+// Manifest implements peerpb.DRPCPeerServer.
+func (s *service) Manifest(ctx context.Context, _ *peerpb.ManifestRequest) (*peerpb.ManifestResponse, error) {
+	return s.h.Manifest(ctx), nil
+}
+
+// HandOver implements peerpb.DRPCPeerServer.
+func (s *service) HandOver(ctx context.Context, req *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
+	return &peerpb.HandOverResponse{Accepted: s.h.HandOver(ctx, req.From, req.Kind, req.Body)}, nil
+}
+
+type countingListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, traffic: l.traffic}, nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	Caller   string   `json:"caller_address" validate:"required,hostname_port"`
 	Operator string   `json:"operator_address" validate:"required,hostname_port"`
 	Peer     string   `json:"peer_address" validate:"required,hostname_port"`
+	Peers    []string `json:"peers,omitempty" validate:"dive,hostname_port"` // peer addresses of daemons to try first
 	Platform Platform `json:"platform"`
 	TLS      *TLS     `json:"tls,omitempty"`
 	LogLevel string   `json:"log_level,omitempty" validate:"omitempty,oneof=trace debug info warn error"`
