--- a/internal/manifest/active.go
+++ b/internal/manifest/active.go
@@ -67,3 +67,11 @@
 		}
 	}
 }
+
+// Generation returns the generation in force, 0 before the first manifest.
+func (c *Current) Generation() int64 {
+	if a := c.active.Load(); a != nil {
+		return a.Generation
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/manifest/keeper.go
@@ -0,0 +1,231 @@
+package manifest
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/lagoonmux/lagoonmux/internal/platform"
+)
+
+const (
+	pollInterval  = 2 * time.Second // of the table, by a daemon of a small deployment
+	pollShare     = 20              // daemons beyond which polls become rarer
+	fetchTimeout  = 2 * time.Second
+	keeperMailbox = 64
+)
+
+// Packed is a manifest as daemons pass it on.
+type Packed struct {
+	Generation int64 // 0 is none
+	AtMS       int64 // unix time of acceptance
+	Body       []byte
+}
+
+// Fetch asks the daemon at a peer address for its manifest in force.
+type Fetch func(ctx context.Context, address string) (Packed, error)
+
+// Keeper is the task that keeps the newest accepted manifest in force at one
+// daemon. It learns of it from peers' heartbeats and from the table, whichever
+// is first, and never goes back.
+type Keeper struct {
+	name    string
+	store   *Store
+	current *Current
+	fetch   Fetch
+	inForce func(a *Active, lag time.Duration)
+	log     hclog.Logger
+	inbox   chan news
+	packed  atomic.Pointer[Packed]
+	trouble atomic.Pointer[string] // why no manifest is in force
+	daemons func() int
+}
+
+// news says that a generation exists, and where.
+type news struct {
+	generation int64
+	address    string // of a daemon that has it
+	packed     *Packed
+	done       chan struct{} // closed once handled; may be nil
+}
+
+// KeeperConfig holds what a Keeper works with.
+type KeeperConfig struct {
+	Name    string // of this daemon
+	Store   *Store
+	Current *Current
+	Fetch   Fetch
+	// InForce is called with each manifest just before it comes into force, on
+	// the keeper's goroutine.
+	InForce func(a *Active, lag time.Duration)
+	Daemons func() int // number of daemons, for the rate of polls
+	Log     hclog.Logger
+}
+
+// NewKeeper returns a keeper. Nothing runs before Run.
+func NewKeeper(c KeeperConfig) *Keeper {
+	return &Keeper{
+		name:    c.Name,
+		store:   c.Store,
+		current: c.Current,
+		fetch:   c.Fetch,
+		inForce: c.InForce,
+		daemons: c.Daemons,
+		log:     c.Log,
+		inbox:   make(chan news, keeperMailbox),
+	}
+}
+
+// Packed returns the manifest in force for a peer. Any goroutine may call it.
+func (k *Keeper) Packed() Packed {
+	if p := k.packed.Load(); p != nil {
+		return *p
+	}
+	return Packed{}
+}
+
+// Trouble tells why no manifest is in force, or is empty. Any goroutine may
+// call it.
+func (k *Keeper) Trouble() string {
+	if k.current.Load() != nil {
+		return ""
+	}
+	if s := k.trouble.Load(); s != nil {
+		return *s
+	}
+	return "no manifest yet"
+}
+
+// Heard says that the daemon at address has a generation in force. Any
+// goroutine may call it; it does not block.
+func (k *Keeper) Heard(generation int64, address string) {
+	if generation <= k.current.Generation() {
+		return
+	}
+	select {
+	case k.inbox <- news{generation: generation, address: address}:
+	default: // the next heartbeat says it again
+	}
+}
+
+// Apply accepts m as the successor of generation base and returns its
+// generation once it is in force here. Errors are those of Store.Commit. Any
+// goroutine may call it.
+func (k *Keeper) Apply(ctx context.Context, base int64, m *Manifest) (int64, error) {
+	a := Accepted{Token: uuid.NewString(), By: k.name, AtMS: time.Now().UnixMilli()}
+	a, err := k.store.Commit(ctx, base, m, a)
+	if err != nil {
+		return 0, err
+	}
+	body, err := Pack(m)
+	if err != nil {
+		return 0, err
+	}
+	n := news{generation: a.Generation, packed: &Packed{Generation: a.Generation, AtMS: a.AtMS, Body: body}, done: make(chan struct{})}
+	select {
+	case k.inbox <- n:
+	case <-ctx.Done():
+		return a.Generation, nil // accepted; the table's poll brings it into force
+	}
+	select {
+	case <-n.done:
+	case <-ctx.Done():
+	}
+	return a.Generation, nil
+}
+
+// Run keeps the manifest current until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			k.poll(ctx)
+			timer.Reset(k.pollWait())
+		case n := <-k.inbox:
+			k.handle(ctx, n)
+		}
+	}
+}
+
+// pollWait keeps the reads of all daemons together flat as daemons are added.
+func (k *Keeper) pollWait() time.Duration {
+	return pollInterval * time.Duration(max(1, k.daemons()/pollShare))
+}
+
+func (k *Keeper) handle(ctx context.Context, n news) {
+	if n.done != nil {
+		defer close(n.done)
+	}
+	if n.generation <= k.current.Generation() {
+		return
+	}
+	if n.packed != nil {
+		k.adopt(*n.packed, "apply")
+		return
+	}
+	fctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	p, err := k.fetch(fctx, n.address)
+	if err != nil {
+		k.log.Warn("manifest not fetched", "peer", n.address, "error", err)
+		return
+	}
+	k.adopt(p, n.address)
+}
+
+// poll asks the table for the newest generation.
+func (k *Keeper) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	newest, err := k.store.Newest(ctx)
+	if errors.Is(err, platform.ErrNotFound) {
+		k.explain("the table holds no manifest")
+		return
+	}
+	if err != nil {
+		k.explain("table: " + err.Error() + "; no peer has a manifest")
+		return
+	}
+	if newest.Generation <= k.current.Generation() {
+		return
+	}
+	body, err := k.store.Body(ctx, newest.Generation)
+	if err != nil {
+		k.explain(err.Error())
+		return
+	}
+	k.adopt(Packed{Generation: newest.Generation, AtMS: newest.AtMS, Body: body}, "table")
+}
+
+// explain keeps and logs why no manifest is in force.
+func (k *Keeper) explain(why string) {
+	if old := k.trouble.Swap(&why); k.current.Load() == nil && (old == nil || *old != why) {
+		k.log.Warn("not ready: no manifest in force", "cause", why)
+	}
+}
+
+// adopt puts p in force unless it is not newer.
+func (k *Keeper) adopt(p Packed, from string) {
+	if p.Generation <= k.current.Generation() {
+		return
+	}
+	m, err := Unpack(p.Body)
+	if err != nil {
+		k.log.Error("manifest not understood", "generation", p.Generation, "from", from, "error", err)
+		return
+	}
+	a := NewActive(p.Generation, m)
+	lag := time.Since(time.UnixMilli(p.AtMS))
+	k.inForce(a, lag)
+	k.packed.Store(&p)
+	k.current.Advance(a)
+	k.log.Info("manifest in force", "generation", p.Generation, "from", from, "lag_ms", lag.Milliseconds())
+}
--- /dev/null
+++ b/internal/manifest/store.go
@@ -0,0 +1,211 @@
+package manifest
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoonmux/lagoonmux/internal/platform"
+)
+
+const (
+	headKey       = "manifest/current"
+	maxBodyBytes  = 380 << 10 // compressed; a row of the table holds 400 KB
+	maxTextBytes  = 16 << 20  // uncompressed
+	historyLength = 32        // commits that the head remembers
+	keptBodies    = 16        // generations whose bodies stay in the table
+	settlePause   = 100 * time.Millisecond
+)
+
+// Accepted names one accepted manifest.
+type Accepted struct {
+	Generation int64  `json:"generation"`
+	Token      string `json:"token"` // of the commit
+	By         string `json:"by"`    // daemon that committed it
+	AtMS       int64  `json:"at_ms"` // unix time of the commit
+}
+
+// head is the row that decides which manifest is in force. Its row version is
+// the generation.
+type head struct {
+	Accepted
+	History []Accepted `json:"history"` // newest first, this one included
+}
+
+// ConflictError says that another manifest was accepted first.
+type ConflictError struct {
+	Base   int64 // generation that the refused manifest was to replace
+	Winner Accepted
+}
+
+// Error names the winner's generation.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("manifest changed since generation %d: generation %d was accepted by %s", e.Base, e.Winner.Generation, e.Winner.By)
+}
+
+// Store keeps accepted manifests in the platform's table. Its methods may be
+// called from any goroutine.
+type Store struct {
+	table platform.Table
+}
+
+// NewStore returns a store in table.
+func NewStore(table platform.Table) *Store { return &Store{table: table} }
+
+// Commit accepts m as the successor of generation base. Of racing commits one
+// succeeds; the others get a *ConflictError. A commit whose answer is lost is
+// settled by its token until ctx ends; after that the error wraps
+// platform.ErrUnknown.
+func (s *Store) Commit(ctx context.Context, base int64, m *Manifest, a Accepted) (Accepted, error) {
+	body, err := Pack(m)
+	if err != nil {
+		return Accepted{}, err
+	}
+	a.Generation = base + 1
+	for {
+		err := s.tryCommit(ctx, base, body, a)
+		switch {
+		case err == nil:
+			return a, nil
+		case errors.Is(err, platform.ErrConflict):
+			return s.settle(ctx, base, a)
+		case errors.Is(err, platform.ErrUnknown) && sleep(ctx, settlePause):
+			continue // the same token again has no second effect
+		default:
+			return Accepted{}, errors.Wrap(err, "commit manifest")
+		}
+	}
+}
+
+func (s *Store) tryCommit(ctx context.Context, base int64, body []byte, a Accepted) error {
+	old, err := s.readHead(ctx)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	if old.find(a.Token) != nil {
+		return nil
+	}
+	if old.Generation != base {
+		return platform.ErrConflict
+	}
+	value, err := json.Marshal(old.successor(a))
+	if err != nil {
+		return errors.Wrap(err, "encode manifest head")
+	}
+	writes := []platform.Write{
+		{Key: headKey, Version: base, Value: value},
+		{Key: bodyKey(a.Generation), Version: platform.AnyVersion, Value: body},
+	}
+	if drop := a.Generation - keptBodies; drop > 0 {
+		writes = append(writes, platform.Write{Key: bodyKey(drop), Version: platform.AnyVersion, Delete: true})
+	}
+	return s.table.Commit(ctx, a.Token, writes)
+}
+
+// settle decides a refused commit: its own earlier try may be what it met.
+func (s *Store) settle(ctx context.Context, base int64, a Accepted) (Accepted, error) {
+	for {
+		h, err := s.readHead(ctx)
+		if err == nil {
+			if own := h.find(a.Token); own != nil {
+				return *own, nil
+			}
+			return Accepted{}, &ConflictError{Base: base, Winner: h.Accepted}
+		}
+		if !sleep(ctx, settlePause) {
+			return Accepted{}, errors.Wrap(platform.ErrUnknown, "settle manifest commit")
+		}
+	}
+}
+
+// Newest returns the newest accepted manifest's name. The error is
+// platform.ErrNotFound before the first.
+func (s *Store) Newest(ctx context.Context) (Accepted, error) {
+	h, err := s.readHead(ctx)
+	return h.Accepted, err
+}
+
+// Body returns the packed manifest of a generation, which Unpack reads.
+func (s *Store) Body(ctx context.Context, generation int64) ([]byte, error) {
+	row, err := s.table.Get(ctx, bodyKey(generation))
+	return row.Value, errors.Wrapf(err, "read manifest %d", generation)
+}
+
+func (s *Store) readHead(ctx context.Context) (head, error) {
+	row, err := s.table.Get(ctx, headKey)
+	if err != nil {
+		return head{}, err
+	}
+	var h head
+	if err := json.Unmarshal(row.Value, &h); err != nil {
+		return head{}, errors.Wrap(err, "decode manifest head")
+	}
+	return h, nil
+}
+
+func (h *head) find(token string) *Accepted {
+	for i := range h.History {
+		if h.History[i].Token == token {
+			return &h.History[i]
+		}
+	}
+	return nil
+}
+
+func (h *head) successor(a Accepted) head {
+	history := append([]Accepted{a}, h.History...)
+	return head{Accepted: a, History: history[:min(len(history), historyLength)]}
+}
+
+func bodyKey(generation int64) string { return fmt.Sprintf("manifest/body-%012d", generation) }
+
+// sleep waits for d and tells whether ctx still goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Pack encodes m as compressed JSON.
+func Pack(m *Manifest) ([]byte, error) {
+	text, err := m.Encode()
+	if err != nil {
+		return nil, errors.Wrap(err, "encode manifest")
+	}
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	if _, err := w.Write(text); err != nil {
+		return nil, errors.Wrap(err, "compress manifest")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress manifest")
+	}
+	if buf.Len() > maxBodyBytes {
+		return nil, errors.Errorf("manifest takes %d bytes compressed, %d are allowed", buf.Len(), maxBodyBytes)
+	}
+	return buf.Bytes(), nil
+}
+
+// Unpack decodes what Pack encoded, and validates it.
+func Unpack(data []byte) (*Manifest, error) {
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress manifest")
+	}
+	text, err := io.ReadAll(io.LimitReader(r, maxTextBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress manifest")
+	}
+	return Parse("manifest", text)
+}
