Entry: bounded memory and deadlines for every caller, answers coalesced

Cause: while a request was answered, its connection could buffer 64 MB; a header or body could take forever; a closing connection lost what its caller had not read yet; each token cost a JSON encoding and a write of its own.

Chunked request bodies are refused with 411: fasthttp would have to parse the message again at each arrival.

Seen: go test -race -count=3 ./internal/entry passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,7 +39,7 @@
 	d := &Daemon{settings: s, log: log, pool: upstream.NewPool(), router: routing.NewRouter()}
 	backend := serve.New(serve.Unlimited{}, dispatch.New(d.pool, d.router))
 	api := entry.NewAPI(&d.manifests, backend, d.ready)
-	d.entry = entry.NewServer(api, log.Named("entry"))
+	d.entry = entry.NewServer(api, log.Named("entry"), entry.DefaultLimits())
 	d.operator = operator.NewServer(d)
 	return d
 }
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -114,6 +114,26 @@
 	return c, nil
 }
 
+// precheck decides by the header of a request with a large body whether the
+// body is wanted. It returns 0 or the status to refuse it with, and is called
+// on event loops.
+func (a *API) precheck(h *fasthttp.RequestHeader, length int) int {
+	active := a.manifests.Load()
+	if active == nil {
+		return fasthttp.StatusServiceUnavailable
+	}
+	key, ok := strings.CutPrefix(string(h.Peek("Authorization")), "Bearer ")
+	if !ok || active.CustomerByKey([]byte(key)) == nil {
+		return fasthttp.StatusUnauthorized
+	}
+	for i := range active.Services {
+		if length <= active.Services[i].MaxBodyBytes {
+			return 0
+		}
+	}
+	return fasthttp.StatusRequestEntityTooLarge
+}
+
 // setService binds the call to a service and derives its deadline.
 func setService(x *Exchange, c *call.Call, s *manifest.Service) error {
 	c.Service = s
@@ -138,7 +158,7 @@
 		x.respondError(c, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	ctx, cancel := x.withDeadline(ctx, c.Deadline)
 	defer cancel()
 	reply, err := a.backend.Plain(ctx, c)
 	if err != nil {
@@ -179,7 +199,7 @@
 }
 
 func answered(c *call.Call, status int, contentType string) *fasthttp.Response {
-	resp := &fasthttp.Response{}
+	resp := fasthttp.AcquireResponse()
 	resp.SetStatusCode(status)
 	resp.Header.SetContentType(contentType)
 	resp.Header.Set(HeaderRequestID, c.ID)
@@ -188,7 +208,7 @@
 }
 
 func (x *Exchange) respondText(status int, text string) {
-	resp := &fasthttp.Response{}
+	resp := fasthttp.AcquireResponse()
 	resp.SetStatusCode(status)
 	resp.SetBodyString(text)
 	_ = x.Respond(resp)
@@ -196,7 +216,7 @@
 
 // respondError sends the status and outcome that err stands for.
 func (x *Exchange) respondError(c *call.Call, err error) {
-	resp := &fasthttp.Response{}
+	resp := fasthttp.AcquireResponse()
 	resp.Header.Set(HeaderRequestID, c.ID)
 	resp.Header.Set(HeaderOutcome, string(call.NotRun))
 	resp.SetStatusCode(fasthttp.StatusInternalServerError)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -1,134 +1,119 @@
 package entry
 
 import (
-	"bufio"
-	"bytes"
+	"context"
 	"strconv"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
 	"github.com/pkg/errors"
+	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 )
 
-const (
-	maxOutboundBytes  = 256 << 10 // of a slow reader, before its stream waits
-	outboundPoll      = 5 * time.Millisecond
-	slowReaderTimeout = 10 * time.Second
-)
-
-// errSlowReader says that the caller stopped reading its answer.
-var errSlowReader = errors.New("caller does not read")
-
 // Exchange is one request and its answer. It belongs to the task that serves
-// it.
+// it, which must not keep Request beyond that; the body may be kept.
 type Exchange struct {
 	Request *fasthttp.Request
 	Arrived time.Time
 
-	conn      gnet.Conn
-	state     *connState
-	close     bool // close the connection after the answer
-	streaming bool
+	conn     *conn
+	ctx      context.Context // ends when the caller is gone or out of patience
+	cancel   context.CancelFunc
+	body     []byte
+	reserved int64 // bytes counted for a large body
+	close    bool  // the connection ends with this answer
+	whole    bool  // the answer was passed on to its end
 }
 
-// Respond sends a whole response.
-func (x *Exchange) Respond(resp *fasthttp.Response) error {
+func newExchange(c *conn) *Exchange {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Exchange{Request: fasthttp.AcquireRequest(), Arrived: time.Now(), conn: c, ctx: ctx, cancel: cancel}
+}
+
+// release frees what the exchange holds.
+func (x *Exchange) release() {
+	x.cancel()
+	x.conn.server.reserved.Add(-x.reserved)
+	x.reserved = 0
+	fasthttp.ReleaseRequest(x.Request)
+	x.Request = nil
+}
+
+// setClose tells the caller that the connection ends with this answer, if the
+// caller asked for it or the daemon drains.
+func (x *Exchange) setClose(resp *fasthttp.Response) {
+	x.close = x.Request.Header.ConnectionClose() || x.conn.server.draining.Load()
 	if x.close {
 		resp.SetConnectionClose()
 	}
-	var buf bytes.Buffer
-	w := bufio.NewWriter(&buf)
-	if x.Request.Header.IsHead() {
-		resp.SkipBody = true
-	}
-	if err := resp.Write(w); err != nil {
-		return errors.Wrap(err, "encode response")
-	}
-	if err := w.Flush(); err != nil {
-		return errors.Wrap(err, "encode response")
+}
+
+// withDeadline ends waits for the caller to read at the deadline of its call,
+// as the returned context does for its upstream.
+func (x *Exchange) withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	x.ctx = ctx
+	return ctx, cancel
+}
+
+// Respond sends a whole response and releases it.
+func (x *Exchange) Respond(resp *fasthttp.Response) error {
+	defer fasthttp.ReleaseResponse(resp)
+	x.setClose(resp)
+	body := resp.Body()
+	resp.Header.SetContentLength(len(body))
+	buf := bytebufferpool.Get()
+	defer bytebufferpool.Put(buf)
+	buf.B = resp.Header.AppendBytes(buf.B[:0])
+	if !x.Request.Header.IsHead() {
+		buf.B = append(buf.B, body...)
 	}
-	return x.write(buf.Bytes())
+	return x.writeLast(buf.B)
 }
 
-// StartStream sends the header of a streamed response.
+// StartStream sends the header of a streamed response and releases it.
 func (x *Exchange) StartStream(resp *fasthttp.Response) error {
-	x.streaming = true
-	if x.close {
-		resp.SetConnectionClose()
-	}
+	defer fasthttp.ReleaseResponse(resp)
+	x.setClose(resp)
 	resp.Header.SetContentLength(-1)
-	return x.write(bytes.Clone(resp.Header.Header()))
+	return x.write(resp.Header.Header())
 }
 
-// WriteChunk sends a part of a streamed response.
-func (x *Exchange) WriteChunk(data []byte) error {
-	buf := make([]byte, 0, len(data)+16)
-	buf = strconv.AppendInt(buf, int64(len(data)), 16)
-	buf = append(buf, "\r\n"...)
-	buf = append(buf, data...)
-	return x.write(append(buf, "\r\n"...))
+// chunkHeadBytes is the room that WriteChunk needs before its data.
+const chunkHeadBytes = 10
+
+// WriteChunk sends a part of a streamed response. The data starts at
+// chunkHeadBytes in buf; the room before it is overwritten.
+func (x *Exchange) WriteChunk(buf []byte) error {
+	var head [chunkHeadBytes]byte
+	h := strconv.AppendInt(head[:0], int64(len(buf)-chunkHeadBytes), 16)
+	h = append(h, "\r\n"...)
+	start := chunkHeadBytes - len(h)
+	copy(buf[start:], h)
+	return x.write(append(buf, "\r\n"...)[start:])
 }
 
 // EndStream sends the end of a streamed response.
 func (x *Exchange) EndStream() error {
-	x.streaming = false
-	return x.write([]byte("0\r\n\r\n"))
+	return x.writeLast([]byte("0\r\n\r\n"))
+}
+
+func (x *Exchange) writeLast(data []byte) error {
+	err := x.write(data)
+	x.whole = err == nil
+	return err
 }
 
 // write queues data on the connection's event loop. It waits while the caller
 // reads too slowly, and fails when the caller is gone.
 func (x *Exchange) write(data []byte) error {
-	if err := x.waitForReader(); err != nil {
+	limits := &x.conn.server.limits
+	if err := x.conn.out.wait(x.ctx, limits.OutboundBytes, limits.ReaderTimeout); err != nil {
 		return err
 	}
-	st := x.state
-	st.outbound.Add(int64(len(data)))
-	err := x.conn.AsyncWrite(data, func(c gnet.Conn, err error) error {
-		if err == nil {
-			st.outbound.Store(int64(c.OutboundBuffered()))
-		}
-		return nil
-	})
-	return errors.Wrap(err, "write to caller")
+	return errors.WithMessage(x.conn.out.put(data), "entry")
 }
 
-func (x *Exchange) waitForReader() error {
-	st := x.state
-	if st.ctx.Err() != nil {
-		return errors.Wrap(st.ctx.Err(), "caller closed the connection")
-	}
-	deadline := time.Now().Add(slowReaderTimeout)
-	for st.outbound.Load() > maxOutboundBytes {
-		if time.Now().After(deadline) {
-			_ = x.conn.Close()
-			return errSlowReader
-		}
-		if st.ctx.Err() != nil {
-			return errors.Wrap(st.ctx.Err(), "caller closed the connection")
-		}
-		time.Sleep(outboundPoll)
-		_ = x.conn.Wake(refreshOutbound(st))
-	}
-	return nil
-}
-
-func refreshOutbound(st *connState) gnet.AsyncCallback {
-	return func(c gnet.Conn, _ error) error {
-		st.outbound.Store(int64(c.OutboundBuffered()))
-		return nil
-	}
-}
-
-// finish frees the connection for the next request, or closes it when its
-// answer was cut or the caller asked for it.
-func (x *Exchange) finish() {
-	if x.close || x.streaming {
-		// The callback runs after the writes that were queued before it.
-		_ = x.conn.AsyncWrite(nil, func(c gnet.Conn, _ error) error { return c.Close() })
-		return
-	}
-	x.state.busy.Store(false)
-	// Wake runs OnTraffic on the event loop, which takes up a pipelined request.
-	_ = x.conn.Wake(nil)
-}
+// finish frees the connection for the next request, or closes it. An answer
+// that is not whole is cut by closing the connection, never ended as if it were.
+func (x *Exchange) finish() { x.conn.out.end(x) }
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -17,8 +17,13 @@
 	defaultMaxTokens = 64
 	typeJSON         = "application/json"
 	typeEvents       = "text/event-stream"
+
+	streamBufferBytes = 512 // of one event; grows where needed
 )
 
+// doneEvent ends a stream of events.
+var doneEvent = sse.Append(nil, sse.Event{ID: -1, Data: []byte(sse.Done)})
+
 func modelPath(path string) bool {
 	return path == completion.Path || path == completion.ChatPath
 }
@@ -29,7 +34,11 @@
 		x.respondError(c, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	if req.Stream && !x.Request.Header.IsHTTP11() {
+		x.respondError(c, refuse(fasthttp.StatusHTTPVersionNotSupported, "streams need HTTP/1.1"))
+		return
+	}
+	ctx, cancel := x.withDeadline(ctx, c.Deadline)
 	defer cancel()
 	if req.Stream {
 		a.serveStream(ctx, x, c)
@@ -99,39 +108,52 @@
 type streamSink struct {
 	x       *Exchange
 	c       *call.Call
-	started bool
+	encoder *completion.ChunkEncoder // nil before the first token
+	buf     []byte
 }
 
 // Token implements call.Sink.
 func (s *streamSink) Token(t call.Token) error {
-	if !s.started {
-		s.started = true
-		if err := s.x.StartStream(answered(s.c, fasthttp.StatusOK, typeEvents)); err != nil {
-			return err
-		}
+	if err := s.start(); err != nil {
+		return err
 	}
-	data, err := json.Marshal(completion.NewChunk(s.c.ID, s.c.Service.Name, t.Text, t.Finish, s.c.Chat))
-	if err != nil {
+	buf := sse.AppendHead(s.buf[:chunkHeadBytes], int64(t.Index))
+	buf = s.encoder.Append(buf, t.Text, t.Finish)
+	s.buf = sse.AppendEnd(buf)
+	return s.x.WriteChunk(s.buf)
+}
+
+// start sends the header before the first token.
+func (s *streamSink) start() error {
+	if s.encoder != nil {
+		return nil
+	}
+	s.encoder = completion.NewChunkEncoder(s.c.ID, s.c.Service.Name, s.c.Chat)
+	s.buf = make([]byte, chunkHeadBytes, streamBufferBytes)
+	return s.x.StartStream(answered(s.c, fasthttp.StatusOK, typeEvents))
+}
+
+// done ends the stream after its last token.
+func (s *streamSink) done() error {
+	if err := s.start(); err != nil {
+		return err
+	}
+	buf := append(make([]byte, chunkHeadBytes), doneEvent...)
+	if err := s.x.WriteChunk(buf); err != nil {
 		return err
 	}
-	return s.x.WriteChunk(sse.Append(nil, sse.Event{ID: int64(t.Index), Data: data}))
+	return s.x.EndStream()
 }
 
 // serveStream answers by server-sent events. An answer that fails after its
-// first token is cut by closing the connection, never ended as if it were
-// whole.
+// first token is cut.
 func (a *API) serveStream(ctx context.Context, x *Exchange, c *call.Call) {
 	sink := &streamSink{x: x, c: c}
 	err := a.backend.Stream(ctx, c, sink)
-	if err != nil && !sink.started {
+	switch {
+	case err == nil:
+		_ = sink.done()
+	case sink.encoder == nil:
 		x.respondError(c, err)
-		return
-	}
-	if err != nil {
-		return
-	}
-	if err := x.WriteChunk(sse.Append(nil, sse.Event{ID: -1, Data: []byte(sse.Done)})); err != nil {
-		return
 	}
-	_ = x.EndStream()
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,10 +3,7 @@
 package entry
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,52 +15,101 @@
 )
 
 const (
-	maxHeaderBytes = 16 << 10
-	maxBodyBytes   = 64 << 20 // of any service
+	sweepInterval = 100 * time.Millisecond // between looks for passed deadlines
+	drainInterval = 10 * time.Millisecond  // between looks for the end of a drain
+	readBytes     = 64 << 10               // read from a socket at once
 )
 
-var headerEnd = []byte("\r\n\r\n")
-
 // Server is the caller port. It is a gnet event handler.
 type Server struct {
 	gnet.BuiltinEventEngine
-	api    *API
-	log    hclog.Logger
-	engine gnet.Engine
-	booted chan struct{}
-	tasks  sync.WaitGroup
-	ctx    context.Context
-	cancel context.CancelFunc
+	api      *API
+	log      hclog.Logger
+	limits   Limits
+	engine   gnet.Engine
+	booted   chan struct{}
+	tasks    sync.WaitGroup
+	draining atomic.Bool
+	reserved atomic.Int64 // bytes of large bodies
+	refused  atomic.Int64 // requests that could not be read
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
 }
 
-// NewServer returns a server that answers by api.
-func NewServer(api *API, log hclog.Logger) *Server {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{api: api, log: log, booted: make(chan struct{}), ctx: ctx, cancel: cancel}
+// NewServer returns a server that answers by api within limits.
+func NewServer(api *API, log hclog.Logger, limits Limits) *Server {
+	return &Server{
+		api:    api,
+		log:    log,
+		limits: limits,
+		booted: make(chan struct{}),
+		conns:  make(map[*conn]struct{}),
+	}
 }
 
 // Run listens on address until Stop. It returns an error if it cannot listen.
 func (s *Server) Run(address string) error {
-	err := gnet.Run(s, "tcp://"+address, gnet.WithMulticore(true), gnet.WithReusePort(true), gnet.WithLogger(quietLogger{}))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.sweep(ctx)
+	err := gnet.Run(s, "tcp://"+address,
+		gnet.WithMulticore(true),
+		gnet.WithReusePort(true),
+		gnet.WithReadBufferCap(readBytes),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithLogger(quietLogger{}))
 	return errors.Wrapf(err, "listen for callers at %s", address)
 }
 
-// Stop waits until ctx ends for the requests in flight, then closes the port.
+// Stop drains: answers close their connections from now on. It returns when no
+// request is in flight and the callers of idle connections had the grace time
+// to send one more, or when ctx ends; then the port is closed.
 func (s *Server) Stop(ctx context.Context) error {
-	<-s.booted
-	done := make(chan struct{})
-	go func() {
-		s.tasks.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-s.booted:
 	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "stop caller port")
 	}
-	s.cancel()
-	return s.engine.Stop(context.Background())
+	s.draining.Store(true)
+	grace := time.Now().Add(s.limits.DrainGrace)
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil && !s.drained(time.Now().After(grace)) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	err := s.engine.Stop(context.Background())
+	s.tasks.Wait()
+	return err
 }
 
+// drained tells whether the port may be closed. Idle connections count only
+// within the grace time.
+func (s *Server) drained(graceOver bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !graceOver || c.active.Load() || c.flushing.Load() {
+			return false
+		}
+	}
+	return true
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Refused returns how many requests could not be read: malformed, too large or
+// too slow.
+func (s *Server) Refused() int64 { return s.refused.Load() }
+
 // OnBoot implements gnet.EventHandler.
 func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
 	s.engine = engine
@@ -71,119 +117,88 @@
 	return gnet.None
 }
 
-// connState is the state of one connection. Fields without a note belong to
-// the connection's event loop.
-type connState struct {
-	ctx      context.Context // ends when the connection closes
-	cancel   context.CancelFunc
-	header   *fasthttp.Request // header of the request whose body is awaited
-	length   int               // bytes of that header
-	busy     atomic.Bool       // a task is answering; set by the event loop, cleared by the task
-	outbound atomic.Int64      // bytes waiting in gnet's outbound buffer; any goroutine
-}
-
 // OnOpen implements gnet.EventHandler.
-func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	ctx, cancel := context.WithCancel(s.ctx)
-	c.SetContext(&connState{ctx: ctx, cancel: cancel})
+func (s *Server) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
+	c := newConn(s, gc)
+	gc.SetContext(c)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	full := len(s.conns) > s.limits.Connections
+	s.mu.Unlock()
+	if full {
+		c.refuse(fasthttp.StatusServiceUnavailable)
+	}
 	return nil, gnet.None
 }
 
 // OnClose implements gnet.EventHandler.
-func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
-	if st, ok := c.Context().(*connState); ok {
-		st.cancel()
+func (s *Server) OnClose(gc gnet.Conn, _ error) gnet.Action {
+	c, ok := gc.Context().(*conn)
+	if !ok {
+		return gnet.None
 	}
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	c.lost()
 	return gnet.None
 }
 
-// OnTraffic implements gnet.EventHandler. It starts a task for the next whole
-// request unless one is being answered.
-func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
-	st := c.Context().(*connState)
-	if st.busy.Load() {
-		if c.InboundBuffered() > maxHeaderBytes+maxBodyBytes {
-			return gnet.Close
-		}
-		return gnet.None
-	}
-	req, status := s.next(c, st)
-	if status != 0 {
-		writeSimple(c, status)
-		return gnet.Close
-	}
-	if req == nil {
-		return gnet.None
-	}
-	st.busy.Store(true)
+// OnTraffic implements gnet.EventHandler.
+func (s *Server) OnTraffic(gc gnet.Conn) gnet.Action {
+	return gc.Context().(*conn).receive()
+}
+
+// start runs the task that serves x.
+func (s *Server) start(x *Exchange) {
 	s.tasks.Add(1)
-	go s.serve(c, st, req)
-	return gnet.None
+	go func() {
+		defer s.tasks.Done()
+		s.api.Serve(x.ctx, x)
+		x.finish()
+	}()
 }
 
-// next returns the next whole request, nil if more bytes are needed, or the
-// HTTP status with which to refuse the connection.
-func (s *Server) next(c gnet.Conn, st *connState) (*fasthttp.Request, int) {
-	if st.header == nil {
-		if status := s.readHeader(c, st); status != 0 || st.header == nil {
-			return nil, status
-		}
-	}
-	body := max(st.header.Header.ContentLength(), 0)
-	if c.InboundBuffered() < st.length+body {
-		return nil, 0
+// reserve counts a large body; it fails when too many bytes are counted.
+func (s *Server) reserve(x *Exchange, length int) bool {
+	if s.reserved.Add(int64(length)) > s.limits.BufferedBodyBytes {
+		s.reserved.Add(-int64(length))
+		return false
 	}
-	data, err := c.Next(st.length + body)
-	if err != nil {
-		return nil, fasthttp.StatusBadRequest
-	}
-	req := st.header
-	req.SetBody(data[st.length:])
-	st.header = nil
-	return req, 0
+	x.reserved = int64(length)
+	return true
 }
 
-// readHeader reads the header once it is complete and leaves its bytes in the
-// buffer until the body has arrived.
-func (s *Server) readHeader(c gnet.Conn, st *connState) int {
-	data, _ := c.Peek(min(c.InboundBuffered(), maxHeaderBytes))
-	end := bytes.Index(data, headerEnd)
-	if end < 0 {
-		if len(data) >= maxHeaderBytes {
-			return fasthttp.StatusRequestHeaderFieldsTooLarge
+// sweep looks for connections whose deadline has passed until ctx ends.
+func (s *Server) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	var due []*conn
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			due = s.due(now.UnixNano(), due[:0])
 		}
-		return 0
-	}
-	req := &fasthttp.Request{}
-	r := bufio.NewReaderSize(bytes.NewReader(data[:end+len(headerEnd)]), end+len(headerEnd))
-	if err := req.Header.Read(r); err != nil {
-		return fasthttp.StatusBadRequest
-	}
-	if req.Header.ContentLength() < 0 && len(req.Header.Peek("Transfer-Encoding")) > 0 {
-		return fasthttp.StatusLengthRequired
-	}
-	if req.Header.ContentLength() > maxBodyBytes {
-		return fasthttp.StatusRequestEntityTooLarge
-	}
-	st.header = req
-	st.length = end + len(headerEnd)
-	if req.MayContinue() {
-		_, _ = c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		for _, c := range due {
+			_ = c.gc.EventLoop().Execute(ctx, c)
+		}
+		clear(due)
 	}
-	return 0
-}
-
-func (s *Server) serve(c gnet.Conn, st *connState, req *fasthttp.Request) {
-	defer s.tasks.Done()
-	x := &Exchange{Request: req, Arrived: time.Now(), conn: c, state: st, close: req.Header.ConnectionClose()}
-	s.api.Serve(st.ctx, x)
-	x.finish()
 }
 
-func writeSimple(c gnet.Conn, status int) {
-	text := fasthttp.StatusMessage(status)
-	head := "HTTP/1.1 " + strconv.Itoa(status) + " " + text + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-	_, _ = c.Write([]byte(head))
+// due appends the connections on which the event loop has to act.
+func (s *Server) due(now int64, list []*conn) []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		d := c.deadline.Load()
+		if c.flushing.Load() || d != 0 && d <= now {
+			list = append(list, c)
+		}
+	}
+	return list
 }
 
 // quietLogger drops gnet's own log lines.
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -21,16 +21,25 @@
 
 // Append appends the event to buf in wire form and returns the result.
 func Append(buf []byte, e Event) []byte {
-	if e.ID >= 0 {
+	buf = AppendHead(buf, e.ID)
+	buf = append(buf, e.Data...)
+	return AppendEnd(buf)
+}
+
+// AppendHead appends what comes before the data of an event. An event has no
+// id if id is negative.
+func AppendHead(buf []byte, id int64) []byte {
+	if id >= 0 {
 		buf = append(buf, "id: "...)
-		buf = strconv.AppendInt(buf, e.ID, 10)
+		buf = strconv.AppendInt(buf, id, 10)
 		buf = append(buf, '\n')
 	}
-	buf = append(buf, "data: "...)
-	buf = append(buf, e.Data...)
-	return append(buf, "\n\n"...)
+	return append(buf, "data: "...)
 }
 
+// AppendEnd appends what comes after the data of an event.
+func AppendEnd(buf []byte) []byte { return append(buf, "\n\n"...) }
+
 // Reader reads events from a stream. It is not safe for concurrent use.
 type Reader struct {
 	r    *bufio.Reader
