Observation: histograms, counters and traces for each customer, class and upstream

Late, cut, unknown and repeated requests are counters of their own, so that a few bad requests show although averages and medians do not move; notable ones keep their trace longer than ordinary ones and get a log line each, at most 20 a second.

The operator port requires certificates where settings name them.

--- a/cmd/lagoonctl/main.go
+++ b/cmd/lagoonctl/main.go
@@ -8,23 +8,38 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lagoonmux/lagoonmux/internal/ctl"
+	"github.com/lagoonmux/lagoonmux/internal/settings"
 	"github.com/lagoonmux/lagoonmux/internal/version"
 )
 
 func main() {
-	app := kingpin.New("lagoonctl", "Operates lagoonmux daemons. Only apply changes what runs.")
+	app := kingpin.New("lagoonctl", "Operates lagoonmux daemons. Only apply changes what runs.\n\n"+
+		"Exit codes: 0 done, 1 failed, 2 the manifest violates a rule, 3 a daemon could not be reached.")
 	app.Version(version.Version)
-	address := app.Flag("address", "Operator address of any daemon.").Short('a').Default("127.0.0.1:7001").String()
+	addresses := app.Flag("address", "Operator address of a daemon; explain asks all that are given, other commands the first.").
+		Short('a').Default("127.0.0.1:7001").Strings()
+	asJSON := app.Flag("json", "Print JSON instead of tables.").Bool()
+	var tls settings.TLS
+	app.Flag("tls-certificate", "File with the operator's certificate, for daemons beyond loopback.").StringVar(&tls.Certificate)
+	app.Flag("tls-key", "File with the certificate's key.").StringVar(&tls.Key)
+	app.Flag("tls-authorities", "File with the authorities that daemons must chain to.").StringVar(&tls.Authorities)
 
 	validate := app.Command("validate", "Check a manifest without applying it.")
 	validateFile := validate.Arg("file", "Manifest, JSON with comments.").Required().String()
 	apply := app.Command("apply", "Put a manifest in force.")
 	applyFile := apply.Arg("file", "Manifest, JSON with comments.").Required().String()
 	show := app.Command("manifest", "Print the manifest in force.")
+	status := app.Command("status", "Print what a daemon says of itself.")
+	histograms := app.Command("histograms", "Print counters and latencies for each customer, class and upstream since the daemon started.")
+	explain := app.Command("explain", "Print each step, attempt, upstream and wait of a recent request.")
+	explainID := explain.Arg("id", "The answer's Lagoonmux-Request-Id.").Required().String()
 
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
-	client := ctl.New(*address, os.Stdout)
-	var err error
+	clients, err := connect(*addresses, &tls)
+	if err != nil {
+		exit(err)
+	}
+	client := clients[0]
 	switch command {
 	case validate.FullCommand():
 		err = client.Validate(*validateFile)
@@ -32,9 +47,34 @@
 		err = client.Apply(*applyFile)
 	case show.FullCommand():
 		err = client.Manifest()
+	case status.FullCommand():
+		err = client.Status(*asJSON)
+	case histograms.FullCommand():
+		err = client.Histograms(*asJSON)
+	case explain.FullCommand():
+		err = ctl.Explain(clients, *explainID, *asJSON)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(ctl.ExitCode(err))
+		exit(err)
 	}
 }
+
+// connect returns a client for each address.
+func connect(addresses []string, tls *settings.TLS) ([]*ctl.Client, error) {
+	clients := make([]*ctl.Client, len(addresses))
+	for i, address := range addresses {
+		clients[i] = ctl.New(address, os.Stdout)
+		if tls.Certificate == "" {
+			continue
+		}
+		if err := clients[i].UseTLS(tls); err != nil {
+			return nil, err
+		}
+	}
+	return clients, nil
+}
+
+func exit(err error) {
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(ctl.ExitCode(err))
+}
--- a/cmd/lagoonmux/main.go
+++ b/cmd/lagoonmux/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"os"
 	"os/signal"
@@ -40,7 +41,9 @@
 	log := obs.NewLogger(os.Stderr, "lagoonmux", s.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := daemon.New(s, log).Run(ctx); err != nil {
+	d := daemon.New(s, log)
+	expvar.Publish("lagoonmux", expvar.Func(func() any { return d.Report() }))
+	if err := d.Run(ctx); err != nil {
 		log.Error("daemon failed", "error", err)
 		os.Exit(exitFailure)
 	}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -14,6 +14,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/operator"
+	"github.com/lagoonmux/lagoonmux/internal/settings"
 )
 
 const callTimeout = 15 * time.Second
@@ -49,13 +50,25 @@
 // Client calls one daemon and prints to out.
 type Client struct {
 	address string
+	scheme  string
 	out     io.Writer
 	http    fasthttp.Client
 }
 
 // New returns a client of the daemon whose operator port is at address.
 func New(address string, out io.Writer) *Client {
-	return &Client{address: address, out: out}
+	return &Client{address: address, scheme: "http://", out: out}
+}
+
+// UseTLS makes the client present a certificate to daemons and check theirs.
+func (c *Client) UseTLS(t *settings.TLS) error {
+	config, err := t.Config()
+	if err != nil {
+		return err
+	}
+	c.scheme = "https://"
+	c.http.TLSConfig = config
+	return nil
 }
 
 // Validate checks a manifest file without calling a daemon.
@@ -103,7 +116,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.SetMethod(method)
-	req.SetRequestURI("http://" + c.address + uri)
+	req.SetRequestURI(c.scheme + c.address + uri)
 	req.SetBody(body)
 	if err := c.http.DoTimeout(req, resp, callTimeout); err != nil {
 		return &Error{Code: ExitReach, Cause: errors.Wrapf(err, "call %s", c.address)}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/dispatch"
 	"github.com/lagoonmux/lagoonmux/internal/entry"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/obs"
 	"github.com/lagoonmux/lagoonmux/internal/operator"
 	"github.com/lagoonmux/lagoonmux/internal/routing"
 	"github.com/lagoonmux/lagoonmux/internal/serve"
@@ -32,15 +33,17 @@
 	pool      *upstream.Pool
 	entry     *entry.Server
 	operator  *operator.Server
+	registry  *obs.Registry
 }
 
 // New assembles a daemon. Nothing runs before Run.
 func New(s *settings.Settings, log hclog.Logger) *Daemon {
 	d := &Daemon{settings: s, log: log, pool: upstream.NewPool(), router: routing.NewRouter()}
 	backend := serve.New(serve.Unlimited{}, dispatch.New(d.pool, d.router))
-	api := entry.NewAPI(&d.manifests, backend, d.ready)
+	d.registry = obs.NewRegistry(log, time.Now())
+	api := entry.NewAPI(&d.manifests, backend, d.registry, d.ready)
 	d.entry = entry.NewServer(api, log.Named("entry"), entry.DefaultLimits())
-	d.operator = operator.NewServer(d)
+	d.operator = operator.NewServer(d, s.TLS)
 	return d
 }
 
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -12,6 +12,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/obs"
 	"github.com/lagoonmux/lagoonmux/internal/trace"
 )
 
@@ -37,16 +38,25 @@
 	Plain(ctx context.Context, c *call.Call) (*call.Reply, error)
 }
 
+// Observer takes in what was seen of requests. Its methods may be called from
+// any goroutine.
+type Observer interface {
+	Merge(r *obs.Request) // of a long stream, on the way
+	End(r *obs.Request, now time.Time)
+}
+
 // API maps HTTP requests to calls.
 type API struct {
 	manifests *manifest.Current
 	backend   Backend
+	observer  Observer
 	ready     func() bool
 }
 
-// NewAPI returns an API that runs calls by backend under the manifest in force.
-func NewAPI(manifests *manifest.Current, backend Backend, ready func() bool) *API {
-	return &API{manifests: manifests, backend: backend, ready: ready}
+// NewAPI returns an API that runs calls by backend under the manifest in force
+// and reports them to observer.
+func NewAPI(manifests *manifest.Current, backend Backend, observer Observer, ready func() bool) *API {
+	return &API{manifests: manifests, backend: backend, observer: observer, ready: ready}
 }
 
 // requestError is a request that is refused before it becomes a call.
@@ -82,6 +92,8 @@
 
 func (a *API) serveCall(ctx context.Context, x *Exchange, path string) {
 	c, err := a.newCall(x)
+	x.seen.Call = c
+	defer a.observe(x)
 	if err != nil {
 		x.respondError(c, err)
 		return
@@ -96,6 +108,13 @@
 	}
 }
 
+// observe reports the end of a request.
+func (a *API) observe(x *Exchange) {
+	x.seen.Gone = x.conn.out.isGone()
+	x.seen.Cut = !x.whole
+	a.observer.End(&x.seen, time.Now())
+}
+
 // newCall authenticates the request and fills what all calls have in common.
 func (a *API) newCall(x *Exchange) (*call.Call, error) {
 	c := &call.Call{ID: uuid.NewString(), Arrived: x.Arrived, Trace: &trace.Trace{}}
@@ -165,7 +184,7 @@
 		x.respondError(c, err)
 		return
 	}
-	resp := answered(c, reply.Status, reply.ContentType)
+	resp := x.answered(c, reply.Status, reply.ContentType)
 	resp.SetBodyRaw(reply.Body)
 	_ = x.Respond(resp)
 }
@@ -198,7 +217,10 @@
 	return nil
 }
 
-func answered(c *call.Call, status int, contentType string) *fasthttp.Response {
+// answered returns the header of an answer that a call got.
+func (x *Exchange) answered(c *call.Call, status int, contentType string) *fasthttp.Response {
+	x.seen.Status = status
+	x.seen.Outcome = call.Answered
 	resp := fasthttp.AcquireResponse()
 	resp.SetStatusCode(status)
 	resp.Header.SetContentType(contentType)
@@ -230,6 +252,8 @@
 		resp.Header.Set(HeaderOutcome, string(ce.Outcome))
 		setRetryAfter(resp, ce)
 	}
+	x.seen.Status = resp.StatusCode()
+	x.seen.Outcome = call.Outcome(resp.Header.Peek(HeaderOutcome))
 	resp.SetBodyString(err.Error() + "\n")
 	_ = x.Respond(resp)
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,8 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/obs"
 )
 
 // Exchange is one request and its answer. It belongs to the task that serves
@@ -16,6 +18,7 @@
 	Request *fasthttp.Request
 	Arrived time.Time
 
+	seen     obs.Request
 	conn     *conn
 	ctx      context.Context // ends when the caller is gone or out of patience
 	cancel   context.CancelFunc
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -72,8 +73,23 @@
 	return req, nil
 }
 
+// observed is the part of a sink that reports its tokens.
+type observed struct {
+	x        *Exchange
+	observer Observer
+}
+
+func (o *observed) note() {
+	seen := &o.x.seen
+	seen.Token(time.Now())
+	if seen.Full() {
+		o.observer.Merge(seen)
+	}
+}
+
 // collector gathers the tokens of an answer that is sent whole.
 type collector struct {
+	observed
 	text   strings.Builder
 	tokens int
 	finish string
@@ -81,6 +97,7 @@
 
 // Token implements call.Sink.
 func (s *collector) Token(t call.Token) error {
+	s.note()
 	s.text.WriteString(t.Text)
 	s.tokens++
 	s.finish = t.Finish
@@ -88,7 +105,7 @@
 }
 
 func (a *API) serveWhole(ctx context.Context, x *Exchange, c *call.Call) {
-	sink := &collector{}
+	sink := &collector{observed: observed{x: x, observer: a.observer}}
 	if err := a.backend.Stream(ctx, c, sink); err != nil {
 		x.respondError(c, err)
 		return
@@ -99,14 +116,14 @@
 		x.respondError(c, err)
 		return
 	}
-	resp := answered(c, fasthttp.StatusOK, typeJSON)
+	resp := x.answered(c, fasthttp.StatusOK, typeJSON)
 	resp.SetBodyRaw(body)
 	_ = x.Respond(resp)
 }
 
 // streamSink writes each token to the caller as a server-sent event.
 type streamSink struct {
-	x       *Exchange
+	observed
 	c       *call.Call
 	encoder *completion.ChunkEncoder // nil before the first token
 	buf     []byte
@@ -117,6 +134,7 @@
 	if err := s.start(); err != nil {
 		return err
 	}
+	s.note()
 	buf := sse.AppendHead(s.buf[:chunkHeadBytes], int64(t.Index))
 	buf = s.encoder.Append(buf, t.Text, t.Finish)
 	s.buf = sse.AppendEnd(buf)
@@ -130,7 +148,7 @@
 	}
 	s.encoder = completion.NewChunkEncoder(s.c.ID, s.c.Service.Name, s.c.Chat)
 	s.buf = make([]byte, chunkHeadBytes, streamBufferBytes)
-	return s.x.StartStream(answered(s.c, fasthttp.StatusOK, typeEvents))
+	return s.x.StartStream(s.x.answered(s.c, fasthttp.StatusOK, typeEvents))
 }
 
 // done ends the stream after its last token.
@@ -148,7 +166,7 @@
 // serveStream answers by server-sent events. An answer that fails after its
 // first token is cut.
 func (a *API) serveStream(ctx context.Context, x *Exchange, c *call.Call) {
-	sink := &streamSink{x: x, c: c}
+	sink := &streamSink{observed: observed{x: x, observer: a.observer}, c: c}
 	err := a.backend.Stream(ctx, c, sink)
 	switch {
 	case err == nil:
--- a/internal/entry/outbox.go
+++ b/internal/entry/outbox.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// isGone tells whether the connection is closed.
+func (o *outbox) isGone() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.gone
+}
+
 // waiting returns the bytes that the caller has not read yet.
 func (o *outbox) waiting() (int, error) {
 	o.mu.Lock()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -28,6 +28,7 @@
 	limits   Limits
 	engine   gnet.Engine
 	booted   chan struct{}
+	ended    chan struct{} // closed when Run returns
 	tasks    sync.WaitGroup
 	draining atomic.Bool
 	reserved atomic.Int64 // bytes of large bodies
@@ -44,12 +45,15 @@
 		log:    log,
 		limits: limits,
 		booted: make(chan struct{}),
+		ended:  make(chan struct{}),
 		conns:  make(map[*conn]struct{}),
 	}
 }
 
-// Run listens on address until Stop. It returns an error if it cannot listen.
+// Run listens on address until Stop. It returns an error if it cannot listen,
+// and may be called once.
 func (s *Server) Run(address string) error {
+	defer close(s.ended)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go s.sweep(ctx)
@@ -68,6 +72,8 @@
 func (s *Server) Stop(ctx context.Context) error {
 	select {
 	case <-s.booted:
+	case <-s.ended:
+		return nil
 	case <-ctx.Done():
 		return errors.Wrap(ctx.Err(), "stop caller port")
 	}
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/obs"
 )
 
 const testManifest = `{
@@ -81,9 +82,10 @@
 
 type fixture struct {
 	*fake
-	server  *Server
-	address string
-	stop    func() // drains and waits for the end
+	server   *Server
+	registry *obs.Registry
+	address  string
+	stop     func() // drains and waits for the end
 }
 
 // start runs a server on a backend; change may set its limits.
@@ -100,7 +102,8 @@
 	current.Advance(manifest.NewActive(1, m))
 	f := &fixture{fake: backend}
 	var draining atomic.Bool
-	api := NewAPI(&current, f.fake, func() bool { return !draining.Load() })
+	f.registry = obs.NewRegistry(hclog.NewNullLogger(), time.Now())
+	api := NewAPI(&current, f.fake, f.registry, func() bool { return !draining.Load() })
 	f.server = NewServer(api, hclog.NewNullLogger(), limits)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -261,6 +264,12 @@
 			f.waitRunning(t, 1)
 			assert.NilError(t, c.Close())
 			f.waitRunning(t, 0)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if groups := f.registry.Report().Groups; len(groups) == 0 || groups[0].Counters.Gone != 1 {
+					return poll.Continue("not counted")
+				}
+				return poll.Success()
+			})
 		})
 	}
 }
--- /dev/null
+++ b/internal/obs/registry.go
@@ -0,0 +1,228 @@
+package obs
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
+
+	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/trace"
+)
+
+const (
+	maxSampleUS  = int64(time.Hour / time.Microsecond)
+	figures      = 2  // significant figures of a histogram
+	logPerSecond = 20 // lines for single requests
+	logBurst     = 50
+)
+
+// groupKey names the requests of one customer and class.
+type groupKey struct {
+	customer string
+	class    manifest.Class
+}
+
+// group holds what was seen of the requests of one customer and class.
+type group struct {
+	mu       sync.Mutex
+	counters Counters
+	first    *hdrhistogram.Histogram // microseconds, as the others
+	between  *hdrhistogram.Histogram
+	total    *hdrhistogram.Histogram
+}
+
+func newGroup() *group {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxSampleUS, figures) }
+	return &group{first: h(), between: h(), total: h()}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxSampleUS)) // within range
+}
+
+// upstreamCounters counts the requests whose last attempt went to one upstream.
+type upstreamCounters struct {
+	mu       sync.Mutex
+	counters Counters
+}
+
+// Registry holds the counters, histograms and recent requests of one daemon.
+// Its methods may be called from any goroutine.
+type Registry struct {
+	log       hclog.Logger
+	since     time.Time
+	groups    sync.Map // groupKey to *group
+	upstreams sync.Map // string to *upstreamCounters
+	recent    *recent
+	lines     *rate.Limiter
+
+	mu         sync.Mutex
+	suppressed int64 // lines not logged since the last one
+}
+
+// NewRegistry returns an empty registry that logs single requests to log.
+func NewRegistry(log hclog.Logger, now time.Time) *Registry {
+	return &Registry{log: log, since: now, recent: newRecent(), lines: rate.NewLimiter(logPerSecond, logBurst)}
+}
+
+func (g *Registry) group(c *call.Call) *group {
+	key := groupKey{class: c.Class}
+	if c.Customer != nil {
+		key.customer = c.Customer.Name
+	}
+	if v, ok := g.groups.Load(key); ok {
+		return v.(*group)
+	}
+	v, _ := g.groups.LoadOrStore(key, newGroup())
+	return v.(*group)
+}
+
+// Merge takes the samples that r has gathered so far.
+func (g *Registry) Merge(r *Request) {
+	group := g.group(r.Call)
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	for _, gap := range r.gaps {
+		record(group.between, gap)
+	}
+	r.gaps = r.gaps[:0]
+}
+
+// End takes in a request that ended at now. Requests without a customer are
+// only logged.
+func (g *Registry) End(r *Request, now time.Time) {
+	sum := r.Call.Trace.Summary()
+	late := r.lateness(now)
+	delta := r.counters(late, sum)
+	if r.Call.Customer != nil {
+		g.count(r, now, &delta, sum.Upstream)
+	}
+	g.recent.add(newRecord(r, now, &delta, sum), delta.notable())
+	g.logEnd(r, now, &delta, sum)
+}
+
+func (g *Registry) count(r *Request, now time.Time, delta *Counters, upstream string) {
+	g.Merge(r)
+	group := g.group(r.Call)
+	group.mu.Lock()
+	group.counters.add(delta)
+	if !r.first.IsZero() {
+		record(group.first, r.first.Sub(r.Call.Arrived))
+	}
+	record(group.total, now.Sub(r.Call.Arrived))
+	group.mu.Unlock()
+	if upstream == "" {
+		return
+	}
+	v, ok := g.upstreams.Load(upstream)
+	if !ok {
+		v, _ = g.upstreams.LoadOrStore(upstream, &upstreamCounters{})
+	}
+	u := v.(*upstreamCounters)
+	u.mu.Lock()
+	u.counters.add(delta)
+	u.mu.Unlock()
+}
+
+// counters returns the request as counts.
+func (r *Request) counters(late lateness, sum trace.Summary) Counters {
+	d := Counters{Crossed: int64(sum.Crossed), Retries: int64(max(sum.Attempts-1, 0))}
+	if !r.first.IsZero() {
+		d.Tokens = int64(r.streamed) + 1
+	}
+	d.Repeated = min(d.Retries, 1)
+	d.LateFirst, d.LateBetween, d.LateTotal = count(late.first), count(late.between), count(late.total)
+	switch {
+	case r.Gone:
+		d.Gone = 1
+	case r.Cut:
+		d.Cut = 1
+	case r.Outcome == call.NotRun:
+		d.NotRun = 1
+	case r.Outcome == call.Unknown:
+		d.Unknown = 1
+	case late.any():
+		d.Late = 1
+	default:
+		d.OnTime = 1
+	}
+	return d
+}
+
+func count(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// logEnd writes one line for a request: at info if it was late, cut, unknown or
+// repeated and the rate allows it, else at debug.
+func (g *Registry) logEnd(r *Request, now time.Time, delta *Counters, sum trace.Summary) {
+	alarming := delta.alarming()
+	if !alarming && !g.log.IsDebug() {
+		return
+	}
+	if alarming && !g.lines.AllowN(now, 1) {
+		g.mu.Lock()
+		g.suppressed++
+		g.mu.Unlock()
+		return
+	}
+	rec := newRecord(r, now, delta, sum)
+	args := []any{"request", rec.ID, "customer", rec.Customer, "class", rec.Class, "service", rec.Service,
+		"upstream", rec.Upstream, "result", rec.Result, "status", rec.Status, "attempts", rec.Attempts,
+		"first_token_ms", rec.FirstTokenMS, "total_ms", rec.TotalMS}
+	if !alarming {
+		g.log.Debug("request ended", args...)
+		return
+	}
+	g.mu.Lock()
+	args = append(args, "lines_suppressed", g.suppressed)
+	g.suppressed = 0
+	g.mu.Unlock()
+	g.log.Info("request ended", args...)
+}
+
+// Explain returns what is known of a recent request.
+func (g *Registry) Explain(id string) (*Record, bool) { return g.recent.find(id) }
+
+// Report returns all counters and histograms, sorted by name.
+func (g *Registry) Report() Report {
+	rep := Report{Since: g.since, Groups: []GroupReport{}, Upstreams: []UpstreamReport{}}
+	g.groups.Range(func(k, v any) bool {
+		rep.Groups = append(rep.Groups, v.(*group).report(k.(groupKey)))
+		return true
+	})
+	g.upstreams.Range(func(k, v any) bool {
+		u := v.(*upstreamCounters)
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		rep.Upstreams = append(rep.Upstreams, UpstreamReport{Upstream: k.(string), Counters: u.counters})
+		return true
+	})
+	slices.SortFunc(rep.Groups, func(a, b GroupReport) int {
+		return strings.Compare(a.Customer+"/"+string(a.Class), b.Customer+"/"+string(b.Class))
+	})
+	slices.SortFunc(rep.Upstreams, func(a, b UpstreamReport) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return rep
+}
+
+func (g *group) report(key groupKey) GroupReport {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return GroupReport{
+		Customer:      key.customer,
+		Class:         key.class,
+		Counters:      g.counters,
+		FirstToken:    newQuantiles(g.first),
+		BetweenTokens: newQuantiles(g.between),
+		Total:         newQuantiles(g.total),
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -3,7 +3,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
+	"net"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,12 +14,17 @@
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/obs"
+	"github.com/lagoonmux/lagoonmux/internal/settings"
 )
 
 // Paths of the operator port.
 const (
-	ManifestPath = "/manifest"
-	ExpvarPath   = "/debug/vars"
+	ManifestPath   = "/manifest"
+	StatusPath     = "/status"
+	HistogramsPath = "/histograms"
+	RequestsPath   = "/requests/" // followed by the id of a request
+	ExpvarPath     = "/debug/vars"
 )
 
 const applyTimeout = 10 * time.Second
@@ -28,6 +36,25 @@
 	Apply(ctx context.Context, file string, text []byte) (int64, error)
 	// Manifest returns the manifest in force, or nil.
 	Manifest() *manifest.Active
+	// Status describes the daemon.
+	Status() Status
+	// Report returns counters and histograms since the start.
+	Report() obs.Report
+	// Explain returns the steps of a recent request.
+	Explain(id string) (*obs.Record, bool)
+}
+
+// Status is what a daemon says of itself.
+type Status struct {
+	Name        string `json:"name"`
+	Region      string `json:"region"`
+	Zone        string `json:"zone"`
+	Version     string `json:"version"`
+	Generation  int64  `json:"generation"` // of the manifest in force; 0 for none
+	Ready       bool   `json:"ready"`
+	Draining    bool   `json:"draining"`
+	Connections int    `json:"connections"` // of callers
+	Unreadable  int64  `json:"unreadable"`  // requests refused as malformed, too large or too slow
 }
 
 // Applied is the answer to an apply.
@@ -43,12 +70,14 @@
 // Server is the operator port.
 type Server struct {
 	control Control
+	tls     *settings.TLS
 	http    fasthttp.Server
 }
 
-// NewServer returns a server for the daemon behind control.
-func NewServer(control Control) *Server {
-	s := &Server{control: control}
+// NewServer returns a server for the daemon behind control. With tls set, only
+// operators with a certificate of its authorities are served.
+func NewServer(control Control, tls *settings.TLS) *Server {
+	s := &Server{control: control, tls: tls}
 	s.http.Handler = s.handle
 	s.http.Name = "lagoonmux"
 	return s
@@ -56,7 +85,19 @@
 
 // Run listens on address until Stop.
 func (s *Server) Run(address string) error {
-	return errors.Wrapf(s.http.ListenAndServe(address), "listen for operators at %s", address)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrapf(err, "listen for operators at %s", address)
+	}
+	if s.tls != nil {
+		config, err := s.tls.Config()
+		if err != nil {
+			_ = l.Close()
+			return err
+		}
+		l = tls.NewListener(l, config)
+	}
+	return errors.Wrapf(s.http.Serve(l), "serve operators at %s", address)
 }
 
 // Stop closes the port after the calls in progress.
@@ -68,6 +109,12 @@
 		s.apply(ctx)
 	case path == ManifestPath && ctx.IsGet():
 		s.manifest(ctx)
+	case path == StatusPath:
+		reply(ctx, fasthttp.StatusOK, s.control.Status())
+	case path == HistogramsPath:
+		reply(ctx, fasthttp.StatusOK, s.control.Report())
+	case strings.HasPrefix(path, RequestsPath):
+		s.explain(ctx, strings.TrimPrefix(path, RequestsPath))
 	case path == ExpvarPath:
 		expvarhandler.ExpvarHandler(ctx)
 	default:
@@ -96,6 +143,15 @@
 	reply(ctx, fasthttp.StatusOK, a.Manifest)
 }
 
+func (s *Server) explain(ctx *fasthttp.RequestCtx, id string) {
+	rec, ok := s.control.Explain(id)
+	if !ok {
+		fail(ctx, fasthttp.StatusNotFound, errors.New("not among the recent requests of this daemon"))
+		return
+	}
+	reply(ctx, fasthttp.StatusOK, rec)
+}
+
 func fail(ctx *fasthttp.RequestCtx, status int, err error) {
 	reply(ctx, status, Failure{Error: err.Error()})
 }
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,130 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/ctl"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/obs"
+	"github.com/lagoonmux/lagoonmux/internal/operator"
+	"github.com/lagoonmux/lagoonmux/internal/settings"
+	"github.com/lagoonmux/lagoonmux/internal/trace"
+)
+
+// control is a daemon that saw one request.
+type control struct{ *obs.Registry }
+
+func (control) Apply(context.Context, string, []byte) (int64, error) { return 0, nil }
+func (control) Manifest() *manifest.Active                           { return nil }
+func (control) Status() operator.Status {
+	return operator.Status{Name: "entry-1", Generation: 7, Ready: true}
+}
+
+func newControl() control {
+	g := obs.NewRegistry(hclog.NewNullLogger(), time.Now())
+	c := &call.Call{ID: "id-1", Customer: &manifest.Customer{Name: "editors"}, Class: manifest.Urgent, Trace: &trace.Trace{}}
+	c.Trace.Add(trace.Step{Name: trace.Attempt, Peer: "desk-1", Attempt: 1})
+	g.End(&obs.Request{Call: c, Outcome: call.Unknown, Status: 502}, time.Now())
+	return control{g}
+}
+
+// listen starts the operator port and returns its address.
+func listen(t *testing.T, tls *settings.TLS) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	s := operator.NewServer(newControl(), tls)
+	done := make(chan error, 1)
+	go func() { done <- s.Run(address) }()
+	t.Cleanup(func() {
+		assert.Check(t, s.Stop())
+		assert.Check(t, <-done)
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		_ = c.Close()
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+	return address
+}
+
+func TestCommandsShowWhatADaemonSaw(t *testing.T) {
+	var out bytes.Buffer
+	client := ctl.New(listen(t, nil), &out)
+	assert.NilError(t, client.Status(false))
+	assert.Assert(t, strings.Contains(out.String(), "entry-1"), out.String())
+	out.Reset()
+	assert.NilError(t, client.Histograms(false))
+	assert.Assert(t, strings.Contains(out.String(), "editors/urgent"), out.String())
+	assert.Assert(t, strings.Contains(out.String(), "desk-1"), out.String())
+	out.Reset()
+	assert.NilError(t, ctl.Explain([]*ctl.Client{client}, "id-1", false))
+	assert.Assert(t, strings.Contains(out.String(), "result=unknown status=502 attempts=1"), out.String())
+	assert.Equal(t, ctl.ExitCode(ctl.Explain([]*ctl.Client{client}, "id-2", false)), ctl.ExitFailure)
+}
+
+func TestOperatorsNeedACertificate(t *testing.T) {
+	ours, others := certificate(t), certificate(t)
+	address := listen(t, ours)
+	assert.Equal(t, ctl.ExitCode(ctl.New(address, &bytes.Buffer{}).Status(false)), ctl.ExitReach)
+	for _, tt := range []struct {
+		tls *settings.TLS
+		ok  bool
+	}{
+		{ours, true},
+		{&settings.TLS{Certificate: others.Certificate, Key: others.Key, Authorities: ours.Authorities}, false},
+		{&settings.TLS{Certificate: ours.Certificate, Key: ours.Key, Authorities: others.Authorities}, false},
+	} {
+		client := ctl.New(address, &bytes.Buffer{})
+		assert.NilError(t, client.UseTLS(tt.tls))
+		err := client.Status(false)
+		assert.Equal(t, err == nil, tt.ok, "%v", err)
+	}
+}
+
+// certificate writes a certificate for 127.0.0.1 that is its own authority.
+func certificate(t *testing.T) *settings.TLS {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true,
+		NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(t, err)
+	dir := t.TempDir()
+	write := func(name, kind string, der []byte) string {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+		return path
+	}
+	cert := write("cert.pem", "CERTIFICATE", der)
+	return &settings.TLS{Certificate: cert, Key: write("key.pem", "EC PRIVATE KEY", keyDER), Authorities: cert}
+}
--- /dev/null
+++ b/internal/settings/tls.go
@@ -0,0 +1,33 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// Config returns the configuration of either end of a connection under mutual
+// TLS. Both ends must present a certificate that chains to the authorities.
+func (t *TLS) Config() (*tls.Config, error) {
+	cert, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
+	if err != nil {
+		return nil, errors.Wrap(err, "load certificate")
+	}
+	pem, err := os.ReadFile(t.Authorities)
+	if err != nil {
+		return nil, errors.Wrap(err, "read authorities")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("no certificate in %s", t.Authorities)
+	}
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    pool,
+		RootCAs:      pool,
+	}, nil
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -9,6 +9,13 @@
 
 const maxSteps = 64
 
+// Names of steps that are counted. Other names are free.
+const (
+	Attempt    = "attempt"     // a byte of the request may go to the peer from now on
+	FirstToken = "first-token" // the first token of the answer came from the peer
+	Crossed    = "crossed"     // an answer of another request or attempt was dropped
+)
+
 // Step is one thing that happened to a request.
 type Step struct {
 	At      time.Time `json:"at"`
@@ -49,3 +56,30 @@
 	defer t.mu.Unlock()
 	return append([]Step(nil), t.steps...), t.dropped
 }
+
+// Summary is what the steps of a request say of its attempts.
+type Summary struct {
+	Attempts int
+	Crossed  int    // answers dropped
+	Upstream string // of the last attempt
+}
+
+// Summary counts the steps.
+func (t *Trace) Summary() Summary {
+	var s Summary
+	if t == nil {
+		return s
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.steps {
+		switch t.steps[i].Name {
+		case Attempt:
+			s.Attempts++
+			s.Upstream = t.steps[i].Peer
+		case Crossed:
+			s.Crossed++
+		}
+	}
+	return s
+}
