--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -17,8 +18,13 @@
 	defaultMaxTokens = 64
 	typeJSON         = "application/json"
 	typeEvents       = "text/event-stream"
+
+	streamBufferBytes = 512 // of one event; grows where needed
 )
 
+// doneEvent ends a stream of events.
+var doneEvent = sse.Append(nil, sse.Event{ID: -1, Data: []byte(sse.Done)})
+
 func modelPath(path string) bool {
 	return path == completion.Path || path == completion.ChatPath
 }
@@ -29,7 +35,11 @@
 		x.respondError(c, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	if req.Stream && !x.Request.Header.IsHTTP11() {
+		x.respondError(c, refuse(fasthttp.StatusHTTPVersionNotSupported, "streams need HTTP/1.1"))
+		return
+	}
+	ctx, cancel := x.withDeadline(ctx, c.Deadline)
 	defer cancel()
 	if req.Stream {
 		a.serveStream(ctx, x, c)
@@ -63,8 +73,23 @@
 	return req, nil
 }
 
+// observed is the part of a sink that reports its tokens.
+type observed struct {
+	x        *Exchange
+	observer Observer
+}
+
+func (o *observed) note() {
+	seen := &o.x.seen
+	seen.Token(time.Now())
+	if seen.Full() {
+		o.observer.Merge(seen)
+	}
+}
+
 // collector gathers the tokens of an answer that is sent whole.
 type collector struct {
+	observed
 	text   strings.Builder
 	tokens int
 	finish string
@@ -72,6 +97,7 @@
 
 // Token implements call.Sink.
 func (s *collector) Token(t call.Token) error {
+	s.note()
 	s.text.WriteString(t.Text)
 	s.tokens++
 	s.finish = t.Finish
@@ -79,7 +105,7 @@
 }
 
 func (a *API) serveWhole(ctx context.Context, x *Exchange, c *call.Call) {
-	sink := &collector{}
+	sink := &collector{observed: observed{x: x, observer: a.observer}}
 	if err := a.backend.Stream(ctx, c, sink); err != nil {
 		x.respondError(c, err)
 		return
@@ -90,48 +116,62 @@
 		x.respondError(c, err)
 		return
 	}
-	resp := answered(c, fasthttp.StatusOK, typeJSON)
+	resp := x.answered(c, fasthttp.StatusOK, typeJSON)
 	resp.SetBodyRaw(body)
 	_ = x.Respond(resp)
 }
 
 // streamSink writes each token to the caller as a server-sent event.
 type streamSink struct {
-	x       *Exchange
+	observed
 	c       *call.Call
-	started bool
+	encoder *completion.ChunkEncoder // nil before the first token
+	buf     []byte
 }
 
 // Token implements call.Sink.
 func (s *streamSink) Token(t call.Token) error {
-	if !s.started {
-		s.started = true
-		if err := s.x.StartStream(answered(s.c, fasthttp.StatusOK, typeEvents)); err != nil {
-			return err
-		}
+	if err := s.start(); err != nil {
+		return err
 	}
-	data, err := json.Marshal(completion.NewChunk(s.c.ID, s.c.Service.Name, t.Text, t.Finish, s.c.Chat))
-	if err != nil {
+	s.note()
+	buf := sse.AppendHead(s.buf[:chunkHeadBytes], int64(t.Index))
+	buf = s.encoder.Append(buf, t.Text, t.Finish)
+	s.buf = sse.AppendEnd(buf)
+	return s.x.WriteChunk(s.buf)
+}
+
+// start sends the header before the first token.
+func (s *streamSink) start() error {
+	if s.encoder != nil {
+		return nil
+	}
+	s.encoder = completion.NewChunkEncoder(s.c.ID, s.c.Service.Name, s.c.Chat)
+	s.buf = make([]byte, chunkHeadBytes, streamBufferBytes)
+	return s.x.StartStream(s.x.answered(s.c, fasthttp.StatusOK, typeEvents))
+}
+
+// done ends the stream after its last token.
+func (s *streamSink) done() error {
+	if err := s.start(); err != nil {
+		return err
+	}
+	buf := append(make([]byte, chunkHeadBytes), doneEvent...)
+	if err := s.x.WriteChunk(buf); err != nil {
 		return err
 	}
-	return s.x.WriteChunk(sse.Append(nil, sse.Event{ID: int64(t.Index), Data: data}))
+	return s.x.EndStream()
 }
 
 // serveStream answers by server-sent events. An answer that fails after its
-// first token is cut by closing the connection, never ended as if it were
-// whole.
+// first token is cut.
 func (a *API) serveStream(ctx context.Context, x *Exchange, c *call.Call) {
-	sink := &streamSink{x: x, c: c}
+	sink := &streamSink{observed: observed{x: x, observer: a.observer}, c: c}
 	err := a.backend.Stream(ctx, c, sink)
-	if err != nil && !sink.started {
+	switch {
+	case err == nil:
+		_ = sink.done()
+	case sink.encoder == nil:
 		x.respondError(c, err)
-		return
-	}
-	if err != nil {
-		return
-	}
-	if err := x.WriteChunk(sse.Append(nil, sse.Event{ID: -1, Data: []byte(sse.Done)})); err != nil {
-		return
 	}
-	_ = x.EndStream()
 }
