lagoonstand load: open-loop callers, each answer checked byte for byte

Arrivals are drawn from the seed and timed from their schedule, so that a slow system cannot slow its callers down. Every event's index, request and text are checked; afterwards the stand-ins are asked what ran, which finds doubled effects, effects of requests told not-run, and answers without effect.

--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -25,6 +25,7 @@
 	app.Version(version.Version)
 	commands := []command{
 		serveCommand(app),
+		loadCommand(app),
 	}
 	selected := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/internal/standin/engine/core.go
+++ b/internal/standin/engine/core.go
@@ -8,6 +8,8 @@
 	"github.com/lagoonmux/lagoonmux/internal/completion"
 )
 
+const maxRan = 1 << 20 // ids of requests that an engine remembers
+
 // sequence is one request in the queue or the batch.
 type sequence struct {
 	id       string
@@ -63,11 +65,12 @@
 	seen     *Seen
 	exports  map[string][]uint64 // blocks by handle
 	orders   orderBook
+	ran      map[string]struct{} // ids of requests that were queued
 	stats    Stats
 }
 
 func newCore(cfg Config, epoch int64) *core {
-	return &core{cfg: cfg, epoch: epoch, cache: newPrefixCache(), seen: cfg.Seen, exports: make(map[string][]uint64)}
+	return &core{cfg: cfg, epoch: epoch, cache: newPrefixCache(), seen: cfg.Seen, exports: make(map[string][]uint64), ran: make(map[string]struct{})}
 }
 
 // submit queues s.
@@ -75,6 +78,9 @@
 	c.arrivals++
 	s.arrival = c.arrivals
 	c.stats.Requests++
+	if len(c.ran) < maxRan {
+		c.ran[s.id] = struct{}{}
+	}
 	heap.Push(&c.waiting, s)
 }
 
@@ -230,7 +236,7 @@
 func (c *core) restart() *core {
 	c.remove(func(*sequence) bool { return true }, time.Time{})
 	next := newCore(c.cfg, c.epoch+1)
-	next.stats = c.stats
+	next.stats, next.ran = c.stats, c.ran
 	return next
 }
 
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -21,6 +21,7 @@
 	PathImport = "/kv/import"
 	PathOrders = "/orders"
 	PathStats  = "/debug/stats"
+	PathRan    = "/debug/ran" // of the ids posted, those that were ever queued
 	pathKV     = "/kv/blocks" // between engines
 )
 
@@ -51,6 +52,8 @@
 		e.order(ctx)
 	case PathStats:
 		writeJSON(ctx, e.Stats())
+	case PathRan:
+		e.ran(ctx)
 	default:
 		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
@@ -175,6 +178,22 @@
 	}
 }
 
+func (e *Engine) ran(ctx *fasthttp.RequestCtx) {
+	var ids []string
+	if !readJSON(ctx, &ids) {
+		return
+	}
+	ran := []string{}
+	_ = e.do(func(c *core, _ time.Time) {
+		for _, id := range ids {
+			if _, ok := c.ran[id]; ok {
+				ran = append(ran, id)
+			}
+		}
+	})
+	writeJSON(ctx, ran)
+}
+
 // cacheEvent is one event as it is given out.
 type cacheEvent struct {
 	Seq   int64  `json:"seq"`
--- /dev/null
+++ b/internal/standin/load/audit.go
@@ -0,0 +1,183 @@
+package load
+
+import (
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/standin/engine"
+	"github.com/lagoonmux/lagoonmux/internal/standin/plain"
+)
+
+const auditTimeout = 5 * time.Second
+
+// audit compares what callers were told with what the stand-ins did.
+type audit struct {
+	engines []string // addresses
+	desks   []string
+
+	mu       sync.Mutex
+	notRun   map[string]bool // keys and request ids told not-run
+	answered map[string]bool // keys told answered
+	keyed    map[string]bool // keys sent
+}
+
+func newAudit(m *manifest.Manifest) *audit {
+	a := &audit{notRun: make(map[string]bool), answered: make(map[string]bool), keyed: make(map[string]bool)}
+	if m == nil {
+		return a
+	}
+	active := manifest.NewActive(0, m)
+	for _, u := range m.Upstreams {
+		if active.Service(u.Service).Kind == manifest.Plain {
+			a.desks = append(a.desks, u.Address)
+		} else {
+			a.engines = append(a.engines, u.Address)
+		}
+	}
+	return a
+}
+
+// note remembers what the caller of r was told. A key that was sent twice was
+// not run only if neither answer says otherwise.
+func (a *audit) note(r *request, res *result) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.key == "" {
+		if res.verdict == NotRun && r.caller.Kind != Plain {
+			a.notRun[res.id] = true
+		}
+		return
+	}
+	a.keyed[r.key] = true
+	switch res.verdict {
+	case NotRun:
+		if !r.repeats {
+			a.notRun[r.key] = true
+		}
+	case OnTime, Late:
+		a.answered[r.key] = true
+	}
+}
+
+// usage is the sum of the stand-ins' counters.
+type usage struct {
+	generated, cached, recomputed int64
+	cost                          float64
+}
+
+// usage sums the counters of all stand-ins that answer.
+func (a *audit) usage() (usage, []AfterNotice) {
+	var u usage
+	var after []AfterNotice
+	for _, address := range a.engines {
+		var s engine.Stats
+		if getJSON(address, engine.PathStats, &s) != nil {
+			continue
+		}
+		u.generated += s.GeneratedTokens
+		u.cached += s.CachedTokens
+		u.recomputed += s.RecomputedTokens
+		u.cost += s.Cost
+		if s.LeavingStats.Requests > 0 {
+			after = append(after, AfterNotice{Upstream: s.Name, Requests: s.LeavingStats.Requests, LastMS: s.LastMS})
+		}
+	}
+	for _, address := range a.desks {
+		var s plain.Stats
+		if getJSON(address, plain.StatsPath, &s) != nil {
+			continue
+		}
+		u.cost += s.Cost
+		if s.LeavingStats.Requests > 0 {
+			after = append(after, AfterNotice{Upstream: s.Name, Requests: s.LeavingStats.Requests, LastMS: s.LastMS})
+		}
+	}
+	return u, after
+}
+
+// settle fills in the keys and requests that broke a promise.
+func (a *audit) settle(r *Report) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	runs := make(map[string]int)
+	for _, address := range a.desks {
+		one := make(map[string]int)
+		if err := getJSON(address, plain.RunsPath, &one); err != nil {
+			return err
+		}
+		for key, n := range one {
+			runs[key] += n
+		}
+	}
+	for key := range a.keyed {
+		switch n := runs[key]; {
+		case n > 1:
+			r.Doubled = append(r.Doubled, key)
+		case n > 0 && a.notRun[key]:
+			r.RanNotRun = append(r.RanNotRun, key)
+		case n == 0 && a.answered[key] && len(a.desks) > 0:
+			r.LostEffects = append(r.LostEffects, key)
+		}
+	}
+	if err := a.settleModels(r); err != nil {
+		return err
+	}
+	sort.Strings(r.Doubled)
+	sort.Strings(r.RanNotRun)
+	sort.Strings(r.LostEffects)
+	return nil
+}
+
+// settleModels asks the engines which of the requests told not-run they ran.
+func (a *audit) settleModels(r *Report) error {
+	ids := make([]string, 0, len(a.notRun))
+	for id := range a.notRun {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	for _, address := range a.engines {
+		ran, err := ranAt(address, ids)
+		if err != nil {
+			return err
+		}
+		r.RanNotRun = append(r.RanNotRun, ran...)
+	}
+	return nil
+}
+
+func ranAt(address string, ids []string) ([]string, error) {
+	body, err := json.Marshal(ids)
+	if err != nil {
+		return nil, err
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + address + engine.PathRan)
+	req.SetBodyRaw(body)
+	if err := fasthttp.DoTimeout(req, resp, auditTimeout); err != nil {
+		return nil, errors.Wrapf(err, "audit of %s", address)
+	}
+	var ran []string
+	return ran, errors.Wrapf(json.Unmarshal(resp.Body(), &ran), "audit of %s", address)
+}
+
+func getJSON(address, path string, v any) error {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, auditTimeout)
+	if err == nil && status != fasthttp.StatusOK {
+		err = errors.Errorf("status %d", status)
+	}
+	if err == nil {
+		err = json.Unmarshal(body, v)
+	}
+	return errors.Wrapf(err, "GET %s%s", address, path)
+}
--- /dev/null
+++ b/internal/standin/load/client.go
@@ -0,0 +1,246 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/entry"
+	"github.com/lagoonmux/lagoonmux/internal/sse"
+	"github.com/lagoonmux/lagoonmux/internal/standin/plain"
+	"github.com/lagoonmux/lagoonmux/internal/upstream"
+)
+
+const (
+	// patience is how long a caller listens beyond its timeout, so that a late
+	// answer is told from one that never comes.
+	patience      = 3 * time.Second
+	maxReplyBytes = 16 << 20
+	readBytes     = 4096
+)
+
+// Verdict is what became of one request, as its caller saw it.
+type Verdict string
+
+// Verdicts.
+const (
+	OnTime   Verdict = "on_time"
+	Late     Verdict = "late" // whole and right, after the timeout or the first token's target
+	NotRun   Verdict = "not_run"
+	Unknown  Verdict = "unknown"
+	Cut      Verdict = "cut"       // broke off after its first token
+	NoAnswer Verdict = "no_answer" // connection closed or silent without an answer
+	HungUp   Verdict = "hung_up"   // the caller itself closed
+	Crossed  Verdict = "crossed"   // bears the id of another request
+	Wrong    Verdict = "wrong"     // other bytes than the request's own answer
+)
+
+// result is one request's verdict with its timing.
+type result struct {
+	verdict Verdict
+	status  int
+	id      string          // given by the daemon
+	first   time.Duration   // to the first token, from the scheduled arrival
+	total   time.Duration   // to the last byte
+	gaps    []time.Duration // between tokens
+	detail  string          // of a verdict that is not on time
+}
+
+// client sends requests to the daemons.
+type client struct {
+	pool     *upstream.Pool
+	balancer *balancer
+}
+
+// errWrong is an answer that is not the request's own.
+type errWrong struct {
+	verdict Verdict
+	detail  string
+}
+
+// Error implements error.
+func (e *errWrong) Error() string { return string(e.verdict) + ": " + e.detail }
+
+func wrongf(v Verdict, format string, args ...any) error {
+	return &errWrong{verdict: v, detail: fmt.Sprintf(format, args...)}
+}
+
+// do sends r, whose arrival was scheduled for arrived, and judges the answer.
+func (c *client) do(ctx context.Context, r *request, arrived time.Time) result {
+	ctx, cancel := context.WithDeadline(ctx, arrived.Add(r.caller.timeout()+patience))
+	defer cancel()
+	res := result{}
+	x, err := c.send(ctx, r)
+	if err != nil {
+		res.verdict, res.detail = NoAnswer, err.Error()
+		return res
+	}
+	res.status = x.Response.StatusCode()
+	res.id = string(x.Response.Header.Peek(entry.HeaderRequestID))
+	err = c.receive(x, r, &res, arrived)
+	res.total = time.Since(arrived)
+	c.judge(r, &res, err)
+	return res
+}
+
+// send finds a daemon that takes the connection. A reused connection may have
+// been closed by the daemon meanwhile, upon which a new one is tried.
+func (c *client) send(ctx context.Context, r *request) (*upstream.Exchange, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(r.method)
+	req.Header.Set("Authorization", "Bearer "+r.caller.Key)
+	req.Header.Set(entry.HeaderRequestTimeout, strconv.FormatFloat(r.caller.timeout().Seconds(), 'f', -1, 64))
+	if r.key != "" {
+		req.Header.Set(entry.HeaderIdempotencyKey, r.key)
+	}
+	if len(r.body) > 0 {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(r.body)
+	}
+	var last error
+	for attempt := range c.balancer.size() + 1 {
+		address := c.balancer.next()
+		req.SetRequestURI("http://" + address + r.path)
+		x, err := c.pool.Start(ctx, address, req, attempt > 0)
+		if err == nil {
+			return x, nil
+		}
+		last = err
+		var ue *upstream.Error
+		if ctx.Err() != nil || (attempt > 0 && errors.As(err, &ue) && ue.Sent) {
+			break
+		}
+	}
+	return nil, last
+}
+
+// receive reads the answer and checks it.
+func (c *client) receive(x *upstream.Exchange, r *request, res *result, arrived time.Time) error {
+	outcome := string(x.Response.Header.Peek(entry.HeaderOutcome))
+	if outcome != "answered" {
+		body, err := x.ReadAll(maxReplyBytes)
+		res.detail = string(body)
+		if err == nil && outcome == "" {
+			err = wrongf(Wrong, "status %d without an outcome", res.status)
+		}
+		res.verdict = map[string]Verdict{"not-run": NotRun, "unknown": Unknown}[outcome]
+		return err
+	}
+	if res.status != fasthttp.StatusOK {
+		x.Cancel()
+		return wrongf(Wrong, "answered with status %d", res.status)
+	}
+	if r.caller.Kind == Stream || r.caller.Kind == Chat {
+		return c.receiveStream(x, r, res, arrived)
+	}
+	body, err := x.ReadAll(maxReplyBytes)
+	if err != nil {
+		return err
+	}
+	res.first = time.Since(arrived)
+	if r.caller.Kind == Plain {
+		return checkPlain(r, body)
+	}
+	return checkWhole(r, res.id, body)
+}
+
+func (c *client) receiveStream(x *upstream.Exchange, r *request, res *result, arrived time.Time) error {
+	events := sse.NewReader(bufio.NewReaderSize(x.Body(), readBytes))
+	check := newStreamCheck(r, res.id)
+	last := arrived
+	for {
+		if check.next == r.hangUp {
+			x.Cancel()
+			res.verdict = HungUp
+			return nil
+		}
+		e, err := events.Next()
+		if err != nil {
+			x.Cancel()
+			return err
+		}
+		now := time.Now()
+		if string(e.Data) == sse.Done {
+			break
+		}
+		if err := check.event(e); err != nil {
+			x.Cancel()
+			return err
+		}
+		if check.next == 1 {
+			res.first = now.Sub(arrived)
+		} else {
+			res.gaps = append(res.gaps, now.Sub(last))
+		}
+		last = now
+	}
+	if err := check.end(); err != nil {
+		x.Cancel()
+		return err
+	}
+	return finishBody(x)
+}
+
+// finishBody reads the end of a streamed body and frees the connection.
+func finishBody(x *upstream.Exchange) error {
+	_, err := x.ReadAll(readBytes)
+	return err
+}
+
+// judge settles the verdict.
+func (c *client) judge(r *request, res *result, err error) {
+	var wrong *errWrong
+	switch {
+	case errors.As(err, &wrong):
+		res.verdict, res.detail = wrong.verdict, wrong.detail
+	case err != nil && res.first > 0:
+		res.verdict, res.detail = Cut, err.Error()
+	case err != nil:
+		res.verdict, res.detail = NoAnswer, err.Error()
+	case res.verdict != "":
+	case res.total > r.caller.timeout():
+		res.verdict = Late
+	case r.caller.FirstTokenMS > 0 && res.first > time.Duration(r.caller.FirstTokenMS)*time.Millisecond:
+		res.verdict = Late
+	default:
+		res.verdict = OnTime
+	}
+}
+
+func checkPlain(r *request, body []byte) error {
+	var got plain.Result
+	if err := json.Unmarshal(body, &got); err != nil {
+		return wrongf(Wrong, "undecodable answer: %v", err)
+	}
+	if got.Echo != string(r.body) || got.Path != r.caller.Path || got.Key != r.key {
+		return wrongf(Crossed, "answer to path %s key %s, asked path %s key %s", got.Path, got.Key, r.caller.Path, r.key)
+	}
+	return nil
+}
+
+func checkWhole(r *request, id string, body []byte) error {
+	var got completion.Response
+	if err := json.Unmarshal(body, &got); err != nil {
+		return wrongf(Wrong, "undecodable answer: %v", err)
+	}
+	if got.ID != id {
+		return wrongf(Crossed, "answer of %s, asked %s", got.ID, id)
+	}
+	w := completion.NewWords(r.prompt)
+	want := ""
+	for i := range r.tokens {
+		want += w.At(i)
+	}
+	if text, _ := got.FirstChoice(); text != want {
+		return wrongf(Wrong, "text %q, expected %q", text, want)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,130 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/entry"
+	"github.com/lagoonmux/lagoonmux/internal/sse"
+	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
+)
+
+const mixText = `{
+	// one caller of each form
+	"seed": 5, "duration_ms": 400,
+	"prompt_pools": [{"name": "p", "prefixes": 4, "prefix_tokens": 40, "skew": 1.5}],
+	"callers": [
+		{"customer": "c", "key": "k", "class": "normal", "service": "m", "kind": "stream", "per_second": 60, "timeout_ms": 5000,
+			"prompt_pool": "p", "own_tokens": {"min": 1, "max": 9}, "answer_tokens": {"min": 2, "max": 9}}]}`
+
+// fakeDaemon answers streamed calls, wrong in the way that it is told.
+type fakeDaemon struct {
+	fault Verdict
+}
+
+func (d *fakeDaemon) handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == "/readyz" {
+		return
+	}
+	req, err := completion.Parse(ctx.PostBody(), false)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	ctx.Response.Header.Set(entry.HeaderRequestID, "id-1")
+	ctx.Response.Header.Set(entry.HeaderOutcome, "answered")
+	switch d.fault {
+	case NotRun:
+		ctx.Response.Header.Set(entry.HeaderOutcome, "not-run")
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	case Unknown:
+		ctx.Response.Header.Set(entry.HeaderOutcome, "unknown")
+		ctx.SetStatusCode(fasthttp.StatusBadGateway)
+	default:
+		ctx.SetBodyStream(d.stream(req), -1)
+	}
+}
+
+func (d *fakeDaemon) stream(req *completion.Request) io.Reader {
+	var wire []byte
+	for i := range req.MaxTokens {
+		id, text, finish := "id-1", completion.WordAt(req.Prompt, i), ""
+		last := i == req.MaxTokens-1
+		if last {
+			finish = "length"
+		}
+		switch {
+		case last && d.fault == Cut:
+			return io.MultiReader(bytes.NewReader(wire), iotest.ErrReader(io.ErrUnexpectedEOF))
+		case last && d.fault == Crossed:
+			id = "id-2"
+		case last && d.fault == Wrong:
+			text = " else"
+		}
+		data, _ := json.Marshal(completion.NewChunk(id, req.Model, text, finish, false))
+		wire = sse.Append(wire, sse.Event{ID: int64(i), Data: data})
+	}
+	return bytes.NewReader(sse.Append(wire, sse.Event{ID: -1, Data: []byte(sse.Done)}))
+}
+
+func TestEveryVerdictIsFound(t *testing.T) {
+	for _, want := range []Verdict{OnTime, NotRun, Unknown, Cut, Crossed, Wrong} {
+		t.Run(string(want), func(t *testing.T) {
+			mix, err := ParseMix("mix", []byte(mixText))
+			assert.NilError(t, err)
+			set := faults.New()
+			l, err := set.Listener("127.0.0.1:0")
+			assert.NilError(t, err)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error)
+			d := &fakeDaemon{fault: want}
+			go func() { done <- set.ServeListener(ctx, l, d.handle) }()
+			report, err := Run(ctx, Options{Mix: mix, Daemons: []string{l.Addr().String()}})
+			cancel()
+			assert.NilError(t, err)
+			assert.NilError(t, <-done)
+			assert.Assert(t, report.Groups[0].Sent > 0)
+			assert.Equal(t, report.Count(want), report.Groups[0].Sent, "%+v", report.Samples)
+			assert.Equal(t, report.Violations() > 0, want == Crossed || want == Wrong)
+			assert.Equal(t, report.Unanswered() > 0, want == Cut || want == Unknown)
+			var table strings.Builder
+			assert.NilError(t, report.WriteTable(&table))
+			assert.Assert(t, strings.Contains(table.String(), "seconds="))
+		})
+	}
+}
+
+func TestSameSeedSameRequests(t *testing.T) {
+	mix, err := ParseMix("mix", []byte(mixText))
+	assert.NilError(t, err)
+	a, b := newArrivals(mix, 0), newArrivals(mix, 0)
+	prompts := make(map[string]bool)
+	for range 50 {
+		x, y := a.next(), b.next()
+		assert.Equal(t, x.at, y.at)
+		assert.Equal(t, string(x.body), string(y.body))
+		assert.Assert(t, !prompts[x.prompt], "prompts differ beyond their prefix")
+		prompts[x.prompt] = true
+	}
+}
+
+func TestMixErrorsNameLineAndField(t *testing.T) {
+	for _, tc := range []struct{ old, new, want string }{
+		{`"prompt_pool": "p"`, `"prompt_pool": "q"`, "callers[0].prompt_pool"},
+		{`"kind": "stream"`, `"kind": "plain"`, "callers[0].path"},
+		{`"min": 2`, `"min": 0`, "callers[0].answer_tokens"},
+		{`"skew": 1.5`, `"skew": 0.5`, "prompt_pools[0].skew"},
+	} {
+		_, err := ParseMix("mix", []byte(strings.Replace(mixText, tc.old, tc.new, 1)))
+		assert.ErrorContains(t, err, tc.want)
+	}
+}
--- /dev/null
+++ b/internal/standin/load/mix.go
@@ -0,0 +1,126 @@
+// Package load plays the callers of a deployment: open-loop arrivals from a
+// declared mix, each answer checked byte for byte, and a report for each
+// customer and class.
+package load
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoonmux/lagoonmux/internal/jsonc"
+)
+
+// Kind is the form of a caller's requests.
+type Kind string
+
+// Kinds of request.
+const (
+	Stream Kind = "stream" // completions, streamed
+	Whole  Kind = "whole"  // completions, answered whole
+	Chat   Kind = "chat"   // chat completions, streamed
+	Plain  Kind = "plain"  // a plain service
+)
+
+// Mix declares the callers of one run.
+type Mix struct {
+	Seed       uint64   `json:"seed"`
+	DurationMS int      `json:"duration_ms" validate:"required,min=1"`
+	Pools      []Pool   `json:"prompt_pools,omitempty" validate:"dive"`
+	Callers    []Caller `json:"callers" validate:"required,min=1,dive"`
+}
+
+// Pool is a set of prompt prefixes that callers share.
+type Pool struct {
+	Name         string  `json:"name" validate:"required"`
+	Prefixes     int     `json:"prefixes" validate:"required,min=1"`
+	PrefixTokens int     `json:"prefix_tokens" validate:"required,min=1"`
+	Skew         float64 `json:"skew,omitempty" validate:"omitempty,gt=1"` // exponent of a Zipf distribution; 0 for equal shares
+}
+
+// Range is an inclusive range from which numbers are drawn evenly.
+type Range struct {
+	Min int `json:"min" validate:"gte=0"`
+	Max int `json:"max" validate:"gtefield=Min"`
+}
+
+// Caller is one stream of arrivals.
+type Caller struct {
+	Customer     string  `json:"customer" validate:"required"`
+	Key          string  `json:"key" validate:"required"`
+	Class        string  `json:"class" validate:"required"` // label of the report
+	Service      string  `json:"service" validate:"required"`
+	Kind         Kind    `json:"kind" validate:"required,oneof=stream whole chat plain"`
+	PerSecond    float64 `json:"per_second" validate:"required,gt=0"` // mean of the Poisson arrivals
+	TimeoutMS    int     `json:"timeout_ms" validate:"required,min=1"`
+	FirstTokenMS int     `json:"first_token_ms,omitempty" validate:"gte=0"` // target; an answer that begins later is late
+	HangUpShare  float64 `json:"hang_up_share,omitempty" validate:"gte=0,lte=1"`
+
+	// Of model services.
+	Pool         string `json:"prompt_pool,omitempty"`
+	OwnTokens    Range  `json:"own_tokens"`    // of the prompt, beside the shared prefix
+	AnswerTokens Range  `json:"answer_tokens"` // max_tokens
+
+	// Of plain services.
+	Method      string  `json:"method,omitempty" validate:"omitempty,oneof=GET HEAD POST PUT PATCH DELETE"`
+	Path        string  `json:"path,omitempty" validate:"omitempty,startswith=/"`
+	BodyBytes   Range   `json:"body_bytes"`
+	Keyed       bool    `json:"keyed,omitempty"`                               // sends an idempotency key, which must run at most once
+	RepeatShare float64 `json:"repeat_share,omitempty" validate:"gte=0,lte=1"` // of keyed requests, sent twice at once
+}
+
+func (c *Caller) timeout() time.Duration { return time.Duration(c.TimeoutMS) * time.Millisecond }
+
+// ReadMix reads and validates the mix in the named file.
+func ReadMix(path string) (*Mix, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read mix")
+	}
+	return ParseMix(path, data)
+}
+
+// ParseMix validates a mix given as text. The file name is used in errors only.
+func ParseMix(file string, data []byte) (*Mix, error) {
+	m := &Mix{}
+	doc, err := jsonc.Decode(file, data, m)
+	if err != nil {
+		return nil, err
+	}
+	for i := range m.Callers {
+		m.Callers[i].check(doc, fmt.Sprintf("callers[%d]", i), m)
+	}
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func (c *Caller) check(doc *jsonc.Document, field string, m *Mix) {
+	if c.Kind == Plain {
+		if c.Method == "" || c.Path == "" {
+			doc.Reject(field+".path", "a plain service needs method and path")
+		}
+		return
+	}
+	if c.AnswerTokens.Min < 1 {
+		doc.Reject(field+".answer_tokens", "a model service needs at least one token")
+	}
+	if c.Pool == "" && c.OwnTokens.Min < 1 {
+		doc.Reject(field+".own_tokens", "a prompt needs a pool or tokens of its own")
+	}
+	if c.Pool != "" && m.pool(c.Pool) == nil {
+		doc.Reject(field+".prompt_pool", "no pool is named %q", c.Pool)
+	}
+}
+
+func (m *Mix) pool(name string) *Pool {
+	for i := range m.Pools {
+		if m.Pools[i].Name == name {
+			return &m.Pools[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/load/plan.go
@@ -0,0 +1,138 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+)
+
+// request is one request of a caller.
+type request struct {
+	caller  *Caller
+	at      time.Duration // of its arrival, since the start
+	method  string
+	path    string
+	body    []byte
+	key     string // idempotency key; empty for none
+	prompt  string // as the engines see it
+	tokens  int    // of the answer
+	hangUp  int    // hangs up after so many tokens; -1 for never
+	repeats bool   // is sent twice at once
+}
+
+// arrivals generates the requests of one caller. The same seed generates the
+// same requests.
+type arrivals struct {
+	caller *Caller
+	pool   *Pool
+	rng    *rand.Rand
+	zipf   *rand.Zipf
+	label  string // unique among runs and callers
+	count  int
+	at     time.Duration
+}
+
+func newArrivals(m *Mix, i int) *arrivals {
+	c := &m.Callers[i]
+	a := &arrivals{caller: c, rng: rand.New(rand.NewPCG(m.Seed, uint64(i))), label: fmt.Sprintf("%d-%d", m.Seed, i)}
+	if c.Pool != "" {
+		a.pool = m.pool(c.Pool)
+	}
+	if a.pool != nil && a.pool.Skew > 0 {
+		a.zipf = rand.NewZipf(a.rng, a.pool.Skew, 1, uint64(a.pool.Prefixes-1))
+	}
+	return a
+}
+
+// next returns the next request.
+func (a *arrivals) next() *request {
+	a.at += time.Duration(a.rng.ExpFloat64() / a.caller.PerSecond * float64(time.Second))
+	a.count++
+	r := &request{caller: a.caller, at: a.at, hangUp: -1}
+	hangsUp := a.rng.Float64() < a.caller.HangUpShare
+	if a.caller.Kind == Plain {
+		a.fillPlain(r)
+		return r
+	}
+	a.fillModel(r)
+	if hangsUp {
+		r.hangUp = a.rng.IntN(r.tokens)
+	}
+	return r
+}
+
+func (a *arrivals) fillPlain(r *request) {
+	c := a.caller
+	r.method = c.Method
+	r.path = "/svc/" + c.Service + c.Path
+	if n := a.draw(c.BodyBytes); n > 0 {
+		r.body = []byte(words(a.label+"-"+strconv.Itoa(a.count), n)[:n])
+	}
+	if c.Keyed {
+		r.key = "key-" + a.label + "-" + strconv.Itoa(a.count)
+		r.repeats = a.rng.Float64() < c.RepeatShare
+	}
+}
+
+func (a *arrivals) fillModel(r *request) {
+	c := a.caller
+	r.tokens = a.draw(c.AnswerTokens)
+	text := a.prefix() + words(a.label+"-"+strconv.Itoa(a.count), a.draw(c.OwnTokens)*bytesPerWord)
+	r.method = "POST"
+	r.path = completion.Path
+	body := completion.Request{Model: c.Service, MaxTokens: r.tokens, Stream: c.Kind != Whole}
+	if c.Kind == Chat {
+		r.path = completion.ChatPath
+		body.Messages = []completion.Message{{Role: "user", Content: text}}
+	} else {
+		body.Prompt = text
+	}
+	r.prompt = body.Text()
+	data, err := json.Marshal(&body)
+	if err != nil {
+		panic(err) // a Request always encodes
+	}
+	r.body = data
+}
+
+// prefix returns one of the pool's prefixes.
+func (a *arrivals) prefix() string {
+	if a.pool == nil {
+		return ""
+	}
+	var i int
+	if a.zipf != nil {
+		i = int(a.zipf.Uint64())
+	} else {
+		i = a.rng.IntN(a.pool.Prefixes)
+	}
+	return words(a.pool.Name+"-"+strconv.Itoa(i), a.pool.PrefixTokens*bytesPerWord)
+}
+
+func (a *arrivals) draw(r Range) int { return r.Min + a.rng.IntN(r.Max-r.Min+1) }
+
+const bytesPerWord = 4 // one token
+
+// words returns a text of n bytes, rounded up to whole words, that depends on
+// label alone.
+func words(label string, n int) string {
+	var b strings.Builder
+	b.Grow(n + bytesPerWord)
+	h := xxhash.Sum64String(label)
+	for b.Len() < n {
+		h ^= h << 13
+		h ^= h >> 7
+		h ^= h << 17
+		w := strconv.FormatUint(h%46656+46656, 36)
+		b.WriteString(w[1:4])
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/standin/load/run.go
@@ -0,0 +1,156 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/upstream"
+)
+
+const (
+	progressInterval = 2 * time.Second
+	maxOpen          = 50_000 // requests in flight
+)
+
+// Options of a run.
+type Options struct {
+	Mix      *Mix
+	Daemons  []string           // caller addresses
+	Manifest *manifest.Manifest // whose stand-ins are audited; nil for none
+	Progress io.Writer          // nil for none
+}
+
+// runner is one run in progress.
+type runner struct {
+	opts    Options
+	client  *client
+	audit   *audit
+	groups  map[string]*group
+	wg      sync.WaitGroup
+	open    atomic.Int64
+	sent    atomic.Int64
+	started time.Time
+
+	mu      sync.Mutex
+	samples []Sample
+}
+
+// Run plays the mix and returns the report when the last answer has come.
+func Run(ctx context.Context, opts Options) (*Report, error) {
+	r := &runner{opts: opts, audit: newAudit(opts.Manifest), groups: make(map[string]*group)}
+	r.client = &client{pool: upstream.NewPool(), balancer: newBalancer(opts.Daemons)}
+	defer r.client.pool.Close()
+	probing, stop := context.WithCancel(ctx)
+	defer stop()
+	go r.client.balancer.run(probing)
+	if opts.Progress != nil {
+		go r.progress(probing)
+	}
+	before, _ := r.audit.usage()
+	r.started = time.Now()
+	var callers sync.WaitGroup
+	for i := range opts.Mix.Callers {
+		g := r.group(&opts.Mix.Callers[i])
+		a := newArrivals(opts.Mix, i)
+		callers.Go(func() { r.play(ctx, a, g) })
+	}
+	callers.Wait()
+	r.wg.Wait()
+	return r.report(before)
+}
+
+func groupName(c *Caller) string { return c.Customer + "/" + c.Class + "/" + c.Service }
+
+func (r *runner) group(c *Caller) *group {
+	name := groupName(c)
+	if r.groups[name] == nil {
+		r.groups[name] = newGroup(c)
+	}
+	return r.groups[name]
+}
+
+// play sends the requests of one caller when they are due, whatever becomes of
+// the earlier.
+func (r *runner) play(ctx context.Context, a *arrivals, g *group) {
+	end := time.Duration(r.opts.Mix.DurationMS) * time.Millisecond
+	for {
+		req := a.next()
+		if req.at >= end {
+			return
+		}
+		due := r.started.Add(req.at)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(due)):
+		}
+		r.launch(ctx, req, due, g)
+		if req.repeats {
+			r.launch(ctx, req, due, g)
+		}
+	}
+}
+
+func (r *runner) launch(ctx context.Context, req *request, due time.Time, g *group) {
+	r.sent.Add(1)
+	if r.open.Add(1) > maxOpen {
+		r.open.Add(-1)
+		g.add(&result{verdict: NoAnswer})
+		r.sample(req, &result{verdict: NoAnswer, detail: "too many requests in flight at the client"})
+		return
+	}
+	r.wg.Go(func() {
+		res := r.client.do(ctx, req, due)
+		r.open.Add(-1)
+		g.add(&res)
+		r.audit.note(req, &res)
+		r.sample(req, &res)
+	})
+}
+
+// sample keeps a result that needs a look.
+func (r *runner) sample(req *request, res *result) {
+	switch res.verdict {
+	case Unknown, Cut, NoAnswer, Crossed, Wrong:
+	default:
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.samples) < maxSamples {
+		r.samples = append(r.samples, Sample{ID: res.id, Verdict: res.verdict, Group: groupName(req.caller), Detail: res.detail})
+	}
+}
+
+func (r *runner) report(before usage) (*Report, error) {
+	out := &Report{Seed: r.opts.Mix.Seed, Seconds: time.Since(r.started).Seconds(), Samples: r.samples}
+	for _, g := range r.groups {
+		out.Groups = append(out.Groups, g.summary())
+	}
+	sortGroups(out.Groups)
+	after, notices := r.audit.usage()
+	out.GeneratedTokens = after.generated - before.generated
+	out.CachedTokens = after.cached - before.cached
+	out.RecomputedTokens = after.recomputed - before.recomputed
+	out.Cost = after.cost - before.cost
+	out.AfterNotice = notices
+	return out, r.audit.settle(out)
+}
+
+func (r *runner) progress(ctx context.Context) {
+	t := time.NewTicker(progressInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			fmt.Fprintf(r.opts.Progress, "progress seconds=%.0f sent=%d open=%d\n", time.Since(r.started).Seconds(), r.sent.Load(), r.open.Load())
+		}
+	}
+}
