--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -26,6 +26,8 @@
 	commands := []command{
 		serveCommand(app),
 		loadCommand(app),
+		faultCommand(app),
+		waitCommand(app),
 	}
 	selected := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/cmd/lagoonstand/serve.go
+++ b/cmd/lagoonstand/serve.go
@@ -9,12 +9,21 @@
 )
 
 func serveCommand(app *kingpin.Application) command {
-	c := app.Command("serve", "Serve the stand-ins until SIGTERM.")
+	c := app.Command("serve", "Serve the stand-ins of a manifest's upstreams and of the platform until SIGTERM.")
 	file := c.Flag("manifest", "Manifest whose upstreams are served.").Required().String()
-	var p standin.Platform
-	c.Flag("table", "Address of the table service; not served without.").StringVar(&p.Table)
-	c.Flag("objects", "Address of the object store; not served without.").StringVar(&p.Objects)
+	profile := c.Flag("profile", "Speeds of the upstreams, JSON with comments.").String()
+	var platform standin.Platform
+	c.Flag("table", "Address of the table service; not served without.").StringVar(&platform.Table)
+	c.Flag("objects", "Address of the object store; not served without.").StringVar(&platform.Objects)
 	return command{clause: c, run: func(ctx context.Context) error {
-		return standin.Serve(ctx, *file, p)
+		m, err := standin.ReadManifest(*file)
+		if err != nil {
+			return err
+		}
+		p, err := standin.ReadProfile(*profile)
+		if err != nil {
+			return err
+		}
+		return standin.ServeManifest(ctx, m, p, platform)
 	}}
 }
--- /dev/null
+++ b/cmd/lagoonstand/wait.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	waitPoll  = 50 * time.Millisecond
+	probeTime = time.Second
+)
+
+func waitCommand(app *kingpin.Application) command {
+	c := app.Command("wait", "Wait until an HTTP address answers with status 200.")
+	url := c.Arg("url", "Such as http://127.0.0.1:7000/readyz.").Required().String()
+	timeout := c.Flag("timeout", "After which to give up.").Default("10s").Duration()
+	return command{clause: c, run: func(ctx context.Context) error {
+		end := time.Now().Add(*timeout)
+		for {
+			status, _, err := fasthttp.GetTimeout(nil, *url, probeTime)
+			if err == nil && status == fasthttp.StatusOK {
+				return nil
+			}
+			if ctx.Err() != nil || time.Now().After(end) {
+				return errors.Errorf("%s: status %d, error %v", *url, status, err)
+			}
+			time.Sleep(waitPoll)
+		}
+	}}
+}
--- /dev/null
+++ b/internal/standin/profile.go
@@ -0,0 +1,97 @@
+package standin
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoonmux/lagoonmux/internal/jsonc"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/standin/engine"
+	"github.com/lagoonmux/lagoonmux/internal/standin/plain"
+)
+
+// Profile gives the speeds of the stand-ins for upstreams, which a manifest
+// does not declare.
+type Profile struct {
+	Classes    []ClassProfile `json:"vm_classes" validate:"dive"`
+	LoadLagMS  int            `json:"load_lag_ms,omitempty" validate:"gte=0"`  // age of the load reports
+	EventLagMS int            `json:"event_lag_ms,omitempty" validate:"gte=0"` // delay of the cache events
+}
+
+// ClassProfile is the speed of the upstreams on one VM class.
+type ClassProfile struct {
+	VMClass      string  `json:"vm_class" validate:"required"`
+	DecodeMS     float64 `json:"decode_ms,omitempty" validate:"gte=0"`      // a step that decodes one request
+	BatchGrowth  float64 `json:"batch_growth,omitempty" validate:"gte=0"`   // by which share a full batch lengthens the step
+	PrefillPerMS float64 `json:"prefill_per_ms,omitempty" validate:"gte=0"` // tokens; 0 for what the manifest declares
+	WorkMS       float64 `json:"work_ms,omitempty" validate:"gte=0"`        // of one call of a plain service
+}
+
+// ReadProfile reads and validates the profile in the named file. An empty path
+// stands for a profile of defaults.
+func ReadProfile(path string) (*Profile, error) {
+	p := &Profile{}
+	if path == "" {
+		return p, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read profile")
+	}
+	if _, err := jsonc.Decode(path, data, p); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Profile) class(name string) ClassProfile {
+	for _, c := range p.Classes {
+		if c.VMClass == name {
+			return c
+		}
+	}
+	return ClassProfile{}
+}
+
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+func (p *Profile) engine(m *manifest.Manifest, u *manifest.Upstream, seen *engine.Seen) engine.Config {
+	c := p.class(u.VMClass)
+	cfg := engine.Config{
+		Name:         u.Name,
+		Slots:        u.Slots,
+		PrefillPerMS: float64(u.PrefillPerMS),
+		Decode:       milliseconds(c.DecodeMS),
+		BatchGrowth:  c.BatchGrowth,
+		CacheTokens:  u.CacheTokens,
+		LoadLag:      milliseconds(float64(p.LoadLagMS)),
+		EventLag:     milliseconds(float64(p.EventLagMS)),
+		ChecksFence:  u.ChecksFence,
+		PricePerHour: price(m, u),
+		Seen:         seen,
+	}
+	if c.PrefillPerMS > 0 {
+		cfg.PrefillPerMS = c.PrefillPerMS
+	}
+	return cfg
+}
+
+func (p *Profile) plain(m *manifest.Manifest, u *manifest.Upstream) plain.Config {
+	c := p.class(u.VMClass)
+	return plain.Config{Name: u.Name, Slots: u.Slots, Work: milliseconds(c.WorkMS), PricePerHour: price(m, u)}
+}
+
+// price returns what the upstream's VM costs an hour.
+func price(m *manifest.Manifest, u *manifest.Upstream) float64 {
+	for _, c := range m.VMClasses {
+		if c.Name == u.VMClass && u.Reclaimable {
+			return c.ReclaimPerHour
+		}
+		if c.Name == u.VMClass {
+			return c.OnDemandPerHour
+		}
+	}
+	return 0
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,12 +1,16 @@
 // Package standin serves the stand-ins for the outside systems of a
-// deployment: one HTTP server for each upstream of a manifest.
+// deployment: one HTTP server for each upstream of a manifest, and one for each
+// of the platform's services.
 package standin
 
 import (
 	"context"
+	"encoding/json"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
@@ -17,6 +21,17 @@
 	"github.com/lagoonmux/lagoonmux/internal/standin/table"
 )
 
+const faultTimeout = 2 * time.Second
+
+// ReadManifest reads and validates the manifest in the named file.
+func ReadManifest(path string) (*manifest.Manifest, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read manifest")
+	}
+	return manifest.Parse(path, text)
+}
+
 // Platform holds the addresses at which stand-ins of the platform's services
 // are served. An empty address leaves the service out.
 type Platform struct {
@@ -24,48 +39,100 @@
 	Objects string
 }
 
-// Serve serves the upstreams of the manifest in the named file, and the
-// platform's services, until ctx ends.
-func Serve(ctx context.Context, path string, p Platform) error {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return errors.Wrap(err, "read manifest")
+// serve adds the services to g.
+func (p Platform) serve(ctx context.Context, g *errgroup.Group) {
+	if p.Table != "" {
+		g.Go(func() error { return faults.New().Serve(ctx, p.Table, table.New().Handle) })
+	}
+	if p.Objects != "" {
+		g.Go(func() error { return faults.New().Serve(ctx, p.Objects, objects.New().Handle) })
 	}
-	m, err := manifest.Parse(path, text)
+}
+
+// Serve serves the upstreams of the manifest in the named file at default
+// speeds, and the platform's services, until ctx ends.
+func Serve(ctx context.Context, path string, platform Platform) error {
+	m, err := ReadManifest(path)
 	if err != nil {
 		return err
 	}
-	seen := engine.NewSeen()
+	return ServeManifest(ctx, m, &Profile{}, platform)
+}
+
+// ServeManifest serves the upstreams of m at the speeds of p, and the
+// platform's services, until ctx ends.
+func ServeManifest(ctx context.Context, m *manifest.Manifest, p *Profile, platform Platform) error {
+	active := manifest.NewActive(0, m)
+	seen := make(map[string]*engine.Seen) // by service
 	g, gctx := errgroup.WithContext(ctx)
+	platform.serve(gctx, g)
 	for i := range m.Upstreams {
 		u := &m.Upstreams[i]
-		g.Go(func() error { return serveUpstream(gctx, m, u, seen) })
+		set := faults.New()
+		if active.Service(u.Service).Kind == manifest.Plain {
+			s := plain.New(p.plain(m, u), set)
+			g.Go(func() error { return set.Serve(gctx, u.Address, s.Handle) })
+			continue
+		}
+		if seen[u.Service] == nil {
+			seen[u.Service] = engine.NewSeen()
+		}
+		e := engine.New(p.engine(m, u, seen[u.Service]), set)
+		g.Go(func() error { return e.Serve(gctx, u.Address) })
 	}
-	servePlatform(gctx, g, p)
 	return g.Wait()
 }
 
-func servePlatform(ctx context.Context, g *errgroup.Group, p Platform) {
-	if p.Table != "" {
-		g.Go(func() error { return faults.New().Serve(ctx, p.Table, table.New().Handle) })
+// Selection names upstreams of a manifest. Empty fields match all.
+type Selection struct {
+	Upstream string
+	Service  string
+	Zone     string
+}
+
+func (s *Selection) matches(u *manifest.Upstream) bool {
+	return (s.Upstream == "" || s.Upstream == u.Name) &&
+		(s.Service == "" || s.Service == u.Service) &&
+		(s.Zone == "" || s.Zone == u.Zone)
+}
+
+// SetFaults posts the plan to the selected stand-ins and returns the names of
+// those that took it.
+func SetFaults(m *manifest.Manifest, s Selection, plan faults.Plan) ([]string, error) {
+	var names []string
+	for i := range m.Upstreams {
+		u := &m.Upstreams[i]
+		if !s.matches(u) {
+			continue
+		}
+		if err := PostFaults(u.Address, plan); err != nil {
+			return names, err
+		}
+		names = append(names, u.Name)
 	}
-	if p.Objects != "" {
-		g.Go(func() error { return faults.New().Serve(ctx, p.Objects, objects.New().Handle) })
+	if len(names) == 0 {
+		return nil, errors.New("no upstream matches")
 	}
+	return names, nil
 }
 
-func serveUpstream(ctx context.Context, m *manifest.Manifest, u *manifest.Upstream, seen *engine.Seen) error {
-	set := faults.New()
-	if manifest.NewActive(0, m).Service(u.Service).Kind == manifest.Plain {
-		return set.Serve(ctx, u.Address, plain.New(plain.Config{Name: u.Name, Slots: u.Slots}, set).Handle)
+// PostFaults posts the plan to the stand-in at address.
+func PostFaults(address string, plan faults.Plan) error {
+	body, err := json.Marshal(plan)
+	if err != nil {
+		return errors.Wrap(err, "encode faults")
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + address + faults.Path)
+	req.SetBodyRaw(body)
+	if err := fasthttp.DoTimeout(req, resp, faultTimeout); err != nil {
+		return errors.Wrapf(err, "set faults at %s", address)
 	}
-	cfg := engine.Config{
-		Name:         u.Name,
-		Slots:        u.Slots,
-		PrefillPerMS: float64(u.PrefillPerMS),
-		CacheTokens:  u.CacheTokens,
-		ChecksFence:  u.ChecksFence,
-		Seen:         seen,
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return errors.Errorf("set faults at %s: status %d: %s", address, resp.StatusCode(), resp.Body())
 	}
-	return engine.New(cfg, set).Serve(ctx, u.Address)
+	return nil
 }
