Daemon: admission by the limiter, load and cache events of upstreams to the router

Cause: the limiter and the router's learning were not on the path of a call.

The admission task owns the limiter and takes arrivals, ends and reports of demand as messages. Dispatch reports the first token with the cached tokens and sets the engine's priority by class. An upstream that reports that it is leaving gets no new work from the report on.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,8 @@
 	draining  atomic.Bool
 	router    *routing.Router
 	pool      *upstream.Pool
+	admission *admission
+	loads     *loads
 	entry     *entry.Server
 	operator  *operator.Server
 	registry  *obs.Registry
@@ -39,7 +41,9 @@
 // New assembles a daemon. Nothing runs before Run.
 func New(s *settings.Settings, log hclog.Logger) *Daemon {
 	d := &Daemon{settings: s, log: log, pool: upstream.NewPool(), router: routing.NewRouter()}
-	backend := serve.New(serve.Unlimited{}, dispatch.New(d.pool, d.router))
+	d.admission = newAdmission(s, d.router, log.Named("admission"))
+	d.loads = newLoads(d.pool, d.router, log.Named("loads"))
+	backend := serve.New(d.admission, dispatch.New(d.pool, d.router))
 	d.registry = obs.NewRegistry(log, time.Now())
 	api := entry.NewAPI(&d.manifests, backend, d.registry, d.ready)
 	d.entry = entry.NewServer(api, log.Named("entry"), entry.DefaultLimits())
@@ -54,10 +58,14 @@
 // listened on.
 func (d *Daemon) Run(ctx context.Context) error {
 	g, gctx := errgroup.WithContext(ctx)
+	working, finished := context.WithCancel(context.Background()) // until the last request has ended
+	g.Go(func() error { return d.admission.run(working) })
+	g.Go(func() error { return d.loads.run(working, &d.manifests) })
 	g.Go(func() error { return d.entry.Run(d.settings.Caller) })
 	g.Go(func() error { return d.operator.Run(d.settings.Operator) })
 	g.Go(func() error {
 		<-gctx.Done()
+		defer finished()
 		return d.stop()
 	})
 	d.log.Info("daemon started", "name", d.settings.Name, "zone", d.settings.Zone, "caller", d.settings.Caller)
--- /dev/null
+++ b/internal/daemon/limits.go
@@ -0,0 +1,242 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/limits"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+	"github.com/lagoonmux/lagoonmux/internal/serve"
+	"github.com/lagoonmux/lagoonmux/internal/settings"
+	"github.com/lagoonmux/lagoonmux/internal/trace"
+)
+
+const (
+	admissionMailbox  = 1024
+	capacityInterval  = 50 * time.Millisecond
+	stepAdmit         = "admit"
+	admissionStopped  = "admission has stopped"
+	admissionCanceled = "caller gone or deadline passed in the queue"
+)
+
+// admission is the task that owns the limiter. It implements serve.Admitter.
+type admission struct {
+	limiter    *limits.Limiter
+	generation int64 // of the manifest that the limiter has
+	router     *routing.Router
+	gossip     limits.Gossip // nil for a daemon on its own
+	log        hclog.Logger
+	inbox      chan admissionMessage
+	stopped    chan struct{}
+}
+
+// admissionMessage is one event of the task's mailbox.
+type admissionMessage interface {
+	handle(a *admission, now time.Time)
+}
+
+type (
+	arrival struct {
+		item   *limits.Item
+		active *manifest.Active
+	}
+	cancellation struct{ item *limits.Item }
+	completed    struct {
+		item *limits.Item
+		used int
+	}
+	newMembers   struct{ members []limits.Member }
+	demandReport struct{ data []byte }
+	statsRequest struct {
+		reply chan map[string]map[manifest.Class]limits.Stats
+	}
+)
+
+func newAdmission(s *settings.Settings, router *routing.Router, log hclog.Logger) *admission {
+	a := &admission{router: router, log: log, generation: -1}
+	a.inbox = make(chan admissionMessage, admissionMailbox)
+	a.stopped = make(chan struct{})
+	self := limits.Member{Name: s.Name, Cores: max(s.Cores, 1)}
+	a.limiter = limits.NewLimiter(self, rand.Uint64()>>1, decide)
+	return a
+}
+
+// decide passes a decision to the caller that waits for it.
+func decide(d limits.Decision) {
+	d.Item.Tag.(chan limits.Decision) <- d
+}
+
+func (a *admission) send(m admissionMessage) bool {
+	select {
+	case a.inbox <- m:
+		return true
+	case <-a.stopped:
+		return false
+	}
+}
+
+// run owns the limiter until ctx ends.
+func (a *admission) run(ctx context.Context) error {
+	defer close(a.stopped)
+	capacity := time.NewTicker(capacityInterval)
+	defer capacity.Stop()
+	report := time.NewTimer(a.limiter.ReportInterval())
+	defer report.Stop()
+	tick := time.NewTimer(time.Hour)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-a.inbox:
+			m.handle(a, time.Now())
+		case <-capacity.C:
+			a.updateCapacity(time.Now())
+		case <-report.C:
+			a.publish(time.Now())
+			report.Reset(a.limiter.ReportInterval())
+		case <-tick.C:
+		}
+		if wait := a.limiter.Tick(time.Now()); wait > 0 {
+			tick.Reset(wait)
+		}
+	}
+}
+
+func (a *admission) updateCapacity(now time.Time) {
+	for _, c := range a.router.Capacity(now) {
+		a.limiter.SetCapacity(now, limits.Capacity(c))
+	}
+}
+
+func (a *admission) publish(now time.Time) {
+	a.router.SetShare(a.limiter.Share())
+	if a.gossip == nil {
+		return
+	}
+	data, err := a.limiter.Report(now)
+	if err != nil {
+		a.log.Error("report of demand failed", "error", err)
+		return
+	}
+	a.gossip.Publish(limits.Topic, data)
+}
+
+// stats returns the decisions by customer and class, or nil after the task has
+// stopped.
+func (a *admission) stats() map[string]map[manifest.Class]limits.Stats {
+	m := statsRequest{reply: make(chan map[string]map[manifest.Class]limits.Stats, 1)}
+	if !a.send(m) {
+		return nil
+	}
+	select {
+	case s := <-m.reply:
+		return s
+	case <-a.stopped:
+		return nil
+	}
+}
+
+func (m cancellation) handle(a *admission, now time.Time) { a.limiter.Cancel(now, m.item) }
+func (m completed) handle(a *admission, now time.Time)    { a.limiter.Done(now, m.item, m.used, true) }
+func (m newMembers) handle(a *admission, now time.Time)   { a.limiter.SetMembers(now, m.members) }
+func (m statsRequest) handle(a *admission, _ time.Time)   { m.reply <- a.limiter.Stats() }
+
+// handle admits by the manifest that the call arrived under, or by the newest
+// that any call has arrived under.
+func (m arrival) handle(a *admission, now time.Time) {
+	if m.active.Generation > a.generation {
+		a.generation = m.active.Generation
+		a.limiter.Update(now, m.active.Manifest)
+		a.updateCapacity(now)
+	}
+	a.limiter.Arrive(now, m.item)
+}
+
+func (m demandReport) handle(a *admission, now time.Time) {
+	if err := a.limiter.Observe(now, m.data); err != nil {
+		a.log.Warn("report of demand not understood", "error", err)
+	}
+}
+
+// Admit implements serve.Admitter.
+func (a *admission) Admit(ctx context.Context, c *call.Call) (serve.Ticket, error) {
+	decided := make(chan limits.Decision, 1)
+	item := &limits.Item{
+		Customer: c.Customer.Name,
+		Service:  c.Service.Name,
+		Class:    c.Class,
+		Deadline: c.Deadline,
+		Tag:      decided,
+	}
+	prompt := completion.CountTokens(c.Prompt)
+	item.Tokens = prompt + c.MaxTokens
+	if !a.send(arrival{item, c.Active}) {
+		return nil, call.Refused(stepAdmit, "", fasthttp.StatusServiceUnavailable, errors.New(admissionStopped))
+	}
+	select {
+	case d := <-decided:
+		return a.ticket(c, d, prompt)
+	case <-a.stopped:
+		return nil, call.Refused(stepAdmit, "", fasthttp.StatusServiceUnavailable, errors.New(admissionStopped))
+	case <-ctx.Done():
+	}
+	a.send(cancellation{item})
+	a.send(completed{item, 0}) // admitted in the meantime
+	return nil, call.Refused(stepAdmit, "", fasthttp.StatusGatewayTimeout, errors.New(admissionCanceled))
+}
+
+func (a *admission) ticket(c *call.Call, d limits.Decision, prompt int) (serve.Ticket, error) {
+	if d.Admitted {
+		c.Trace.Add(trace.Step{At: time.Now(), Name: stepAdmit})
+		return &ticket{admission: a, item: d.Item, prompt: prompt}, nil
+	}
+	c.Trace.Add(trace.Step{At: time.Now(), Name: stepAdmit, Detail: string(d.Reason)})
+	status := fasthttp.StatusServiceUnavailable
+	if d.Reason == limits.OverLimit || d.Reason == limits.QueueFull {
+		status = fasthttp.StatusTooManyRequests
+	}
+	err := call.Refused(stepAdmit, "", status, errors.Errorf("refused: %s", d.Reason))
+	err.RetryAfter = d.RetryAfter
+	return nil, err
+}
+
+// ticket is one admitted call.
+type ticket struct {
+	admission *admission
+	item      *limits.Item
+	prompt    int
+}
+
+// Done implements serve.Ticket.
+func (t *ticket) Done(tokens int) {
+	t.admission.send(completed{t.item, t.prompt + tokens})
+}
+
+// ShareLimits shares the customers' limits with the daemons that gossip
+// reaches. It must be called before Run.
+func (d *Daemon) ShareLimits(gossip limits.Gossip) {
+	d.admission.gossip = gossip
+	gossip.Subscribe(limits.Topic, func(_ string, value []byte) { d.admission.send(demandReport{value}) })
+}
+
+// SetLimitMembers names all daemons that share the limits, this one included,
+// as membership knows them. Daemons that are named nowhere are learnt from
+// their reports. It may be called from any goroutine.
+func (d *Daemon) SetLimitMembers(members []limits.Member) { d.admission.send(newMembers{members}) }
+
+// LimitStats returns the decisions of admission by customer and class. It may
+// be called from any goroutine while the daemon runs.
+func (d *Daemon) LimitStats() map[string]map[manifest.Class]limits.Stats { return d.admission.stats() }
+
+// RoutingStats returns the counters of the router. It may be called from any
+// goroutine.
+func (d *Daemon) RoutingStats() routing.Stats { return d.router.Stats() }
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/call"
 	"github.com/lagoonmux/lagoonmux/internal/completion"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
 	"github.com/lagoonmux/lagoonmux/internal/sse"
 )
 
@@ -46,7 +47,7 @@
 		u := a.Upstream
 		peer = u.Name
 		tried = append(tried, u.Name)
-		err = d.streamAttempt(ctx, c, u, len(tried), &ans, sink)
+		err = d.streamAttempt(ctx, c, &a, len(tried), &ans, sink)
 		a.Done(time.Now(), resultOf(ctx, err))
 		if err == nil {
 			return nil
@@ -60,7 +61,8 @@
 	return failure(c, peer, sent, last)
 }
 
-func (d *Dispatcher) streamAttempt(ctx context.Context, c *call.Call, u *manifest.Upstream, attempt int, ans *answer, sink call.Sink) error {
+func (d *Dispatcher) streamAttempt(ctx context.Context, c *call.Call, a *routing.Attempt, attempt int, ans *answer, sink call.Sink) error {
+	u := a.Upstream
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	if err := fillEngineRequest(req, c, u, attempt, ans); err != nil {
@@ -84,7 +86,7 @@
 		if string(e.Data) == sse.Done {
 			break
 		}
-		if err := ans.accept(e, c.ID, attempt, sink); err != nil {
+		if err := ans.accept(e, c.ID, attempt, sink, a); err != nil {
 			x.Cancel()
 			return err
 		}
@@ -104,6 +106,7 @@
 		Stream:     true,
 		RequestID:  c.ID,
 		Attempt:    attempt,
+		Priority:   priority(c.Class),
 		ResumeFrom: ans.next,
 		ResumeText: ans.text.String(),
 	})
@@ -117,8 +120,20 @@
 	return nil
 }
 
+// priority returns the priority of a class at the engines.
+func priority(class manifest.Class) int {
+	switch class {
+	case manifest.Urgent:
+		return 2
+	case manifest.Lot:
+		return 0
+	default:
+		return 1
+	}
+}
+
 // accept delivers the token of one event if it is the next of this answer.
-func (a *answer) accept(e sse.Event, id string, attempt int, sink call.Sink) error {
+func (a *answer) accept(e sse.Event, id string, attempt int, sink call.Sink, at *routing.Attempt) error {
 	var chunk completion.Response
 	if err := json.Unmarshal(e.Data, &chunk); err != nil {
 		return errors.Wrap(err, "decode event")
@@ -129,6 +144,9 @@
 	if int(e.ID) != a.next {
 		return errors.Errorf("token %d received, %d expected", e.ID, a.next)
 	}
+	if chunk.Usage != nil {
+		at.FirstToken(time.Now(), chunk.Usage.CachedTokens)
+	}
 	text, finish := chunk.FirstChoice()
 	if err := sink.Token(call.Token{Index: a.next, Text: text, Finish: finish}); err != nil {
 		return err
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -34,6 +34,7 @@
 	Class    manifest.Class
 	Tokens   int       // of the prompt and of the longest answer; 0 for a plain service
 	Deadline time.Time // end of the caller's patience
+	Tag      any       // of the caller, for its decide function
 
 	state    itemState
 	customer *customer
@@ -68,6 +69,16 @@
 	Free    int // slots that no daemon uses, estimated
 }
 
+// Topic is the gossip topic of demand reports.
+const Topic = "limits"
+
+// Gossip carries small values between daemons. Only the newest value of a
+// topic and a daemon need arrive. Its methods may be called from any goroutine.
+type Gossip interface {
+	Publish(topic string, value []byte)
+	Subscribe(topic string, f func(from string, value []byte))
+}
+
 // Stats counts the decisions of one customer and class.
 type Stats struct {
 	Admitted int64            `json:"admitted"`
--- a/internal/limits/shares.go
+++ b/internal/limits/shares.go
@@ -58,9 +58,11 @@
 type grant struct {
 	customer string
 	peer     string
-	seq      uint64 // of the giver's report
+	id       uint64 // seq of the giver's report that carried it first
+	answers  uint64 // seq of the receiver's report
 	fraction float64
 	until    time.Duration
+	valid    time.Duration
 }
 
 func newShares(self Member, seq uint64) *shares {
@@ -144,7 +146,8 @@
 	return slices.DeleteFunc(list, func(g grant) bool { return now >= g.until })
 }
 
-// report returns the message for all other daemons and passes on what this
+// report returns the message for all other daemons, of which only the newest
+// need arrive, and passes on what this
 // daemon does not need. needs holds the part of each customer's limits that
 // its demand here amounts to.
 func (s *shares) report(now time.Duration, needs map[string]float64) ([]byte, error) {
@@ -159,7 +162,10 @@
 		d.Needs = append(d.Needs, &limitspb.Need{Customer: customer, Fraction: float32(need)})
 	}
 	for _, customer := range s.wanted(now) {
-		d.Grants = append(d.Grants, s.passOn(now, customer, needs[customer])...)
+		s.passOn(now, customer, needs[customer])
+	}
+	for i := range s.out {
+		d.Grants = append(d.Grants, s.out[i].message())
 	}
 	data, err := proto.Marshal(d)
 	return data, errors.Wrap(err, "encode demand")
@@ -197,34 +203,40 @@
 // passOn splits this daemon's spare part among the daemons short of it. Every
 // daemon with a spare part gives in proportion, so that together they give
 // what is short and no more.
-func (s *shares) passOn(now time.Duration, customer string, need float64) []*limitspb.Grant {
+func (s *shares) passOn(now time.Duration, customer string, need float64) {
 	base := s.base(s.self.Cores)
 	spare := base - max(need*headroom, minNeed*base)
 	free := spare - granted(s.out, now, customer)
 	if free <= 0 {
-		return nil
+		return
 	}
 	short, allSpare := s.balance(now, customer, spare)
 	if short <= 0 {
-		return nil
+		return
 	}
 	scale := spare / allSpare * min(1, allSpare/short)
-	var list []*limitspb.Grant
 	for name, p := range s.peers {
 		missing := p.needs[customer]*headroom - s.base(p.cores)
 		if missing <= 0 || !s.fresh(now, p) {
 			continue
 		}
-		target := missing * scale
-		part := min(target-s.grantedTo(now, customer, name), free)
+		part := min(missing*scale-s.grantedTo(now, customer, name), free)
 		if part < minGrant*base {
 			continue
 		}
 		free -= part
-		s.out = append(s.out, grant{customer: customer, peer: name, fraction: float64(float32(part)), until: now + s.validity() + time.Millisecond})
-		list = append(list, &limitspb.Grant{Customer: customer, To: name, Fraction: float32(part), Seq: p.seq, ValidMs: uint32(s.validity().Milliseconds())})
+		s.out = append(s.out, grant{
+			customer: customer, peer: name, id: s.seq, answers: p.seq,
+			fraction: float64(float32(part)), valid: s.validity(), until: now + s.validity() + time.Millisecond,
+		})
+	}
+}
+
+func (g *grant) message() *limitspb.Grant {
+	return &limitspb.Grant{
+		Customer: g.customer, To: g.peer, Fraction: float32(g.fraction),
+		Seq: g.answers, ValidMs: uint32(g.valid.Milliseconds()), Id: g.id,
 	}
-	return list
 }
 
 func (s *shares) grantedTo(now time.Duration, customer, name string) float64 {
@@ -293,9 +305,9 @@
 		return
 	}
 	taken := slices.ContainsFunc(s.in, func(x grant) bool {
-		return x.peer == d.Daemon && x.seq == d.Seq && x.customer == g.Customer
+		return x.peer == d.Daemon && x.id == g.Id && x.customer == g.Customer
 	})
 	if !taken {
-		s.in = append(s.in, grant{customer: g.Customer, peer: d.Daemon, seq: d.Seq, fraction: float64(g.Fraction), until: until})
+		s.in = append(s.in, grant{customer: g.Customer, peer: d.Daemon, id: g.Id, fraction: float64(g.Fraction), until: until})
 	}
 }
--- a/internal/routing/baselines.go
+++ b/internal/routing/baselines.go
@@ -19,8 +19,10 @@
 	pick(now int64, r *Request) choice
 }
 
-func (n *node) tried(r *Request) bool {
-	return len(r.Tried) > 0 && slices.Contains(r.Tried, n.upstream.Name)
+// excluded tells whether the request must not go to the node: it failed there
+// already, or the node is leaving.
+func (n *node) excluded(r *Request) bool {
+	return n.leaving.Load() || len(r.Tried) > 0 && slices.Contains(r.Tried, n.upstream.Name)
 }
 
 // roundRobin is the baseline policy that takes upstreams in turn.
@@ -29,7 +31,7 @@
 func (p roundRobin) pick(_ int64, r *Request) choice {
 	for range p.nodes {
 		n := &p.nodes[p.shared.turn.Add(1)%uint64(len(p.nodes))]
-		if !n.tried(r) {
+		if !n.excluded(r) {
 			return choice{node: n}
 		}
 	}
@@ -47,7 +49,7 @@
 	for i := range p.nodes {
 		n := &p.nodes[(i+offset)%len(p.nodes)]
 		load := float64(n.inFlight.Load()) / n.slots
-		if n.tried(r) || best.node != nil && load >= least {
+		if n.excluded(r) || best.node != nil && load >= least {
 			continue
 		}
 		best.node, least = n, load
@@ -69,7 +71,7 @@
 	}
 	for range len(p.nodes) {
 		for _, i := range p.winners(key) {
-			if n := &p.nodes[i]; !n.tried(r) {
+			if n := &p.nodes[i]; !n.excluded(r) {
 				return choice{node: n}
 			}
 		}
--- /dev/null
+++ b/internal/routing/capacity.go
@@ -0,0 +1,51 @@
+package routing
+
+import "time"
+
+const (
+	shortQueueMS   = 200.0 // of prefill, beyond which an upstream takes no more
+	shortQueuePart = 0.5   // the same as a part of the target of the first token
+)
+
+// Capacity is what the upstreams of one service can take.
+type Capacity struct {
+	Service string
+	Slots   int // requests that the live upstreams can work on
+	Free    int // slots that no daemon uses, estimated
+}
+
+// Capacity returns what the upstreams of each service can take now.
+func (r *Router) Capacity(at time.Time) []Capacity {
+	v := r.view.Load()
+	now := r.clock.of(at)
+	list := make([]Capacity, 0, len(v.snapshots))
+	for name, s := range v.snapshots {
+		slots, free := s.capacity(now)
+		list = append(list, Capacity{Service: name, Slots: slots, Free: free})
+	}
+	return list
+}
+
+// capacity adds up the slots of the nodes. A node whose prefill queue is long
+// counts only with what it has, and a failing one by its successes.
+func (s *snapshot) capacity(now int64) (slots, free int) {
+	longest := shortQueueMS
+	if s.targetM > 0 {
+		longest = s.targetM * shortQueuePart
+	}
+	sum, unused := 0.0, 0.0
+	for i := range s.nodes {
+		n := &s.nodes[i]
+		tokens, requests := n.corrected(now, float64(n.pending.Load()), float64(n.inFlight.Load()), s.peers)
+		room := n.slots * (1 - n.failuresAt(now))
+		if tokens*n.slownessAt(now)/n.speed > longest {
+			room = min(room, requests)
+		}
+		sum += room
+		unused += max(room-requests, 0)
+	}
+	if len(s.nodes) == 0 {
+		return 0, 0
+	}
+	return max(int(sum), 1), int(unused)
+}
--- a/internal/routing/expected.go
+++ b/internal/routing/expected.go
@@ -48,7 +48,6 @@
 	*snapshot
 	prefixes *prefixMap
 	terms    Terms
-	peers    float64 // requests of all daemons for each of this daemon's
 }
 
 // candidate is an upstream under consideration.
@@ -170,7 +169,7 @@
 	for i := range set.list[:set.n] {
 		c := &set.list[i]
 		n := &p.nodes[c.index]
-		if n.tried(r) {
+		if n.excluded(r) {
 			continue
 		}
 		ch, score := p.score(n, now, r, max(c.blocks, common))
@@ -206,7 +205,7 @@
 	var least float64
 	for i := range p.nodes {
 		n := &p.nodes[i]
-		if n.tried(r) {
+		if n.excluded(r) {
 			continue
 		}
 		if ch, score := p.score(n, now, r, common); best.node == nil || score < least {
@@ -254,7 +253,7 @@
 	flight := float64(n.inFlight.Load())
 	tokens, requests := own, flight
 	if p.terms&TermQueue != 0 {
-		tokens, requests = p.corrected(n, now, own, flight)
+		tokens, requests = n.corrected(now, own, flight, p.peerFactor())
 	}
 	if class == manifest.Urgent {
 		tokens *= urgentQueue
@@ -270,11 +269,7 @@
 // report, plus what was sent since it was measured, minus what it can have
 // computed since. Peers are taken to send like this daemon, so that a report
 // that all of them hold draws no herd.
-func (p *expected) corrected(n *node, now int64, own, flight float64) (tokens, requests float64) {
-	peers := 1.0
-	if p.terms&TermPeers != 0 {
-		peers = p.peers
-	}
+func (n *node) corrected(now int64, own, flight, peers float64) (tokens, requests float64) {
 	l := n.load.Load()
 	if l == nil || now-l.at > int64(maxLoadAge) {
 		return own * peers, flight * peers
@@ -288,6 +283,14 @@
 	return tokens, requests
 }
 
+// peerFactor returns the requests of all daemons for each of this daemon's.
+func (p *expected) peerFactor() float64 {
+	if p.terms&TermPeers == 0 {
+		return 1
+	}
+	return p.peers
+}
+
 // kvMS is the cost of evicting or preempting for a request that does not fit.
 func kvMS(n *node, r *Request) float64 {
 	l := n.load.Load()
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -37,9 +37,10 @@
 
 // view is the set of pickers in force.
 type view struct {
-	pickers map[string]picker
-	runners map[string]*runner
-	shared  map[string]*serviceState
+	pickers   map[string]picker
+	snapshots map[string]*snapshot
+	runners   map[string]*runner
+	shared    map[string]*serviceState
 }
 
 // Router holds the pickers of all services and learns from attempts, load
@@ -96,9 +97,10 @@
 func (r *Router) rebuild() {
 	old := r.view.Load()
 	next := &view{
-		pickers: make(map[string]picker, len(r.active.Services)),
-		runners: r.keepRunners(old.runners),
-		shared:  make(map[string]*serviceState, len(r.active.Services)),
+		pickers:   make(map[string]picker, len(r.active.Services)),
+		snapshots: make(map[string]*snapshot, len(r.active.Services)),
+		runners:   r.keepRunners(old.runners),
+		shared:    make(map[string]*serviceState, len(r.active.Services)),
 	}
 	nodes := r.usable(next.runners)
 	for i := range r.active.Services {
@@ -108,7 +110,10 @@
 			shared = &serviceState{clock: &r.clock}
 		}
 		next.shared[s.Name] = shared
-		next.pickers[s.Name] = r.newPicker(s, nodes[s.Name], shared)
+		v := newSnapshot(r.active, s, nodes[s.Name], int(r.nextID)+1, shared)
+		v.peers = r.peers
+		next.snapshots[s.Name] = v
+		next.pickers[s.Name] = r.newPicker(s, v)
 	}
 	r.view.Store(next)
 }
@@ -165,13 +170,12 @@
 	return live
 }
 
-func (r *Router) newPicker(s *manifest.Service, nodes []node, shared *serviceState) picker {
-	v := newSnapshot(r.active, s, nodes, int(r.nextID)+1, shared)
+func (r *Router) newPicker(s *manifest.Service, v *snapshot) picker {
 	slots := 0.0
-	for i := range nodes {
-		slots += nodes[i].slots
+	for i := range v.nodes {
+		slots += v.nodes[i].slots
 	}
-	shared.total.store(slots)
+	v.shared.total.store(slots)
 	switch s.Policy {
 	case manifest.RoundRobin:
 		return roundRobin{v}
@@ -180,7 +184,7 @@
 	case manifest.PrefixHash:
 		return prefixHash{v}
 	default:
-		return &expected{snapshot: v, prefixes: r.prefixes, terms: r.terms, peers: r.peers}
+		return &expected{snapshot: v, prefixes: r.prefixes, terms: r.terms}
 	}
 }
 
@@ -192,6 +196,7 @@
 	}
 	t := r.clock.of(now)
 	x.observeEpoch(report.Epoch)
+	x.leaving.Store(report.Leaving)
 	l := &load{LoadReport: report, at: r.clock.of(report.At)}
 	l.at = min(max(l.at, t-int64(maxLoadAge)), t)
 	old := x.load.Load()
@@ -209,11 +214,12 @@
 		return
 	}
 	x.observeEpoch(ev.Epoch)
-	for _, b := range ev.Stored {
-		r.prefixes.store(b, x)
-	}
-	for _, b := range ev.Evicted {
-		r.prefixes.evict(b, x)
+	for _, c := range ev.Changes {
+		if c.Evicted {
+			r.prefixes.evict(c.Block, x)
+			continue
+		}
+		r.prefixes.store(c.Block, x)
 	}
 }
 
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -158,7 +158,11 @@
 	}
 	assert.Equal(t, believed[1], 128)
 	assert.Assert(t, believed[59] < 16, "believed %v", believed)
-	r.ObserveCache(CacheEvents{Upstream: "e0", Epoch: 1, Evicted: req.Blocks})
+	gone := CacheEvents{Upstream: "e0", Epoch: 1}
+	for _, b := range req.Blocks {
+		gone.Changes = append(gone.Changes, CacheChange{Block: b, Evicted: true})
+	}
+	r.ObserveCache(gone)
 	a, err := r.Begin(start, req)
 	assert.NilError(t, err)
 	assert.Equal(t, a.cached, 0)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -76,6 +76,11 @@
 type CacheEvents struct {
 	Upstream string
 	Epoch    int64
-	Stored   []uint64 // blocks
-	Evicted  []uint64
+	Changes  []CacheChange // in the order in which they happened
+}
+
+// CacheChange is one block that was stored or evicted.
+type CacheChange struct {
+	Block   uint64
+	Evicted bool
 }
--- a/internal/routing/runner.go
+++ b/internal/routing/runner.go
@@ -56,6 +56,7 @@
 	inFlight   atomic.Int64  // attempts of this daemon
 	pending    atomic.Int64  // prompt tokens sent that have no first token yet
 	sent       atomic.Int64  // prompt tokens to compute, ever sent
+	leaving    atomic.Bool   // by its own report
 	proven     atomic.Int64  // first tokens since the last restart
 	load       atomic.Pointer[load]
 	slowness   atomicFloat // observed over expected time to the first token
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -24,6 +24,7 @@
 	shared  *serviceState
 	targetM float64 // target of the first token in milliseconds, 0 for none
 	kind    manifest.Kind
+	peers   float64 // requests of all daemons for each of this daemon's
 }
 
 func newSnapshot(a *manifest.Active, s *manifest.Service, nodes []node, ids int, shared *serviceState) *snapshot {
