Manifest by one conditional commit, spread by heartbeats and polls; status; planned stop

Racing applies have one winner, the others get 409 with the winner's generation; a commit whose answer is lost is settled by its token. A daemon that starts with the table down asks peers; one that finds neither says so and is not ready.

--- a/cmd/lagoonctl/main.go
+++ b/cmd/lagoonctl/main.go
@@ -4,17 +4,19 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lagoonmux/lagoonmux/internal/ctl"
+	"github.com/lagoonmux/lagoonmux/internal/operator"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
 	"github.com/lagoonmux/lagoonmux/internal/version"
 )
 
 func main() {
 	app := kingpin.New("lagoonctl", "Operates lagoonmux daemons. Only apply changes what runs.\n\n"+
-		"Exit codes: 0 done, 1 failed, 2 the manifest violates a rule, 3 a daemon could not be reached.")
+		"Exit codes: 0 done, 1 failed, 2 the manifest violates a rule, 3 a daemon or the platform could not be reached, 4 another manifest was accepted first.")
 	app.Version(version.Version)
 	addresses := app.Flag("address", "Operator address of a daemon; explain asks all that are given, other commands the first.").
 		Short('a').Default("127.0.0.1:7001").Strings()
@@ -28,8 +30,9 @@
 	validateFile := validate.Arg("file", "Manifest, JSON with comments.").Required().String()
 	apply := app.Command("apply", "Put a manifest in force.")
 	applyFile := apply.Arg("file", "Manifest, JSON with comments.").Required().String()
+	applyBase := apply.Flag("base", "Generation that the manifest replaces; the one in force at the daemon by default.").Default(strconv.FormatInt(operator.BaseInForce, 10)).Int64()
 	show := app.Command("manifest", "Print the manifest in force.")
-	status := app.Command("status", "Print what a daemon says of itself.")
+	status := app.Command("status", "Print a daemon, and all daemons with the manifest in force and its lag, and the upstreams, as it knows them.")
 	histograms := app.Command("histograms", "Print counters and latencies for each customer, class and upstream since the daemon started.")
 	explain := app.Command("explain", "Print each step, attempt, upstream and wait of a recent request.")
 	explainID := explain.Arg("id", "The answer's Lagoonmux-Request-Id.").Required().String()
@@ -44,7 +47,7 @@
 	case validate.FullCommand():
 		err = client.Validate(*validateFile)
 	case apply.FullCommand():
-		err = client.Apply(*applyFile)
+		err = client.Apply(*applyFile, *applyBase)
 	case show.FullCommand():
 		err = client.Manifest()
 	case status.FullCommand():
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"time"
 
@@ -23,7 +24,8 @@
 const (
 	ExitFailure = 1
 	ExitInvalid = 2 // the manifest violates a rule
-	ExitReach   = 3 // the daemon could not be reached
+	ExitReach   = 3 // the daemon could not be reached, or could not reach the platform
+	ExitRaced   = 4 // another manifest was accepted first
 )
 
 // Error is a failed command with its exit code.
@@ -84,14 +86,23 @@
 	return nil
 }
 
-// Apply puts a manifest file in force.
-func (c *Client) Apply(path string) error {
+// Apply puts a manifest file in force as the successor of generation base.
+// Without a base (operator.BaseInForce) it replaces the one that is in force at
+// the daemon now.
+func (c *Client) Apply(path string, base int64) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "read manifest")
 	}
+	if base == operator.BaseInForce {
+		var s operator.Status
+		if err := c.call(fasthttp.MethodGet, operator.StatusPath, nil, &s); err != nil {
+			return err
+		}
+		base = s.Generation
+	}
 	var applied operator.Applied
-	uri := operator.ManifestPath + "?file=" + path
+	uri := fmt.Sprintf("%s?file=%s&base=%d", operator.ManifestPath, url.QueryEscape(path), base)
 	if err := c.call(fasthttp.MethodPost, uri, data, &applied); err != nil {
 		return err
 	}
@@ -132,9 +143,18 @@
 	if err := json.Unmarshal(resp.Body(), &f); err != nil || f.Error == "" {
 		return errors.Errorf("status %d: %s", resp.StatusCode(), resp.Body())
 	}
-	code := ExitFailure
-	if resp.StatusCode() == fasthttp.StatusUnprocessableEntity {
-		code = ExitInvalid
+	return &Error{Code: exitCodeOf(resp.StatusCode()), Cause: errors.New(f.Error)}
+}
+
+func exitCodeOf(status int) int {
+	switch status {
+	case fasthttp.StatusUnprocessableEntity:
+		return ExitInvalid
+	case fasthttp.StatusConflict:
+		return ExitRaced
+	case fasthttp.StatusServiceUnavailable:
+		return ExitReach
+	default:
+		return ExitFailure
 	}
-	return &Error{Code: code, Cause: errors.New(f.Error)}
 }
--- a/internal/ctl/observe.go
+++ b/internal/ctl/observe.go
@@ -14,7 +14,8 @@
 	"github.com/lagoonmux/lagoonmux/internal/operator"
 )
 
-// Status prints what the daemon says of itself.
+// Status prints what the daemon says of itself, and all daemons and upstreams as
+// it knows them, each daemon with its manifest in force and the lag of that.
 func (c *Client) Status(asJSON bool) error {
 	var s operator.Status
 	if err := c.call(fasthttp.MethodGet, operator.StatusPath, nil, &s); err != nil {
@@ -27,7 +28,13 @@
 	fmt.Fprintln(w, "NAME\tREGION\tZONE\tVERSION\tGENERATION\tREADY\tDRAINING\tCONNECTIONS\tUNREADABLE")
 	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%t\t%t\t%d\t%d\n",
 		s.Name, s.Region, s.Zone, s.Version, s.Generation, s.Ready, s.Draining, s.Connections, s.Unreadable)
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if s.Trouble != "" {
+		fmt.Fprintf(c.out, "trouble: %s\n", s.Trouble)
+	}
+	return c.printMembers(&s)
 }
 
 // Histograms prints the counters and histograms of the daemon.
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,21 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/lagoonmux/lagoonmux/internal/operator"
+)
+
+// printMembers prints the daemons and the upstreams of s.
+func (c *Client) printMembers(s *operator.Status) error {
+	w := c.table()
+	fmt.Fprintln(w, "\nDAEMON\tREGION\tZONE\tSTATE\tGENERATION\tLAG MS")
+	for _, d := range s.Daemons {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\n", d.Name, d.Region, d.Zone, d.State, d.Generation, d.LagMS)
+	}
+	fmt.Fprintln(w, "\nUPSTREAM\tSTATE\tINCARNATION")
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(w, "%s\t%s\t%d\n", u.Name, u.State, u.Incarnation)
+	}
+	return w.Flush()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,17 +4,24 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonmux/lagoonmux/internal/chart"
 	"github.com/lagoonmux/lagoonmux/internal/dispatch"
 	"github.com/lagoonmux/lagoonmux/internal/entry"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/members"
 	"github.com/lagoonmux/lagoonmux/internal/obs"
 	"github.com/lagoonmux/lagoonmux/internal/operator"
+	"github.com/lagoonmux/lagoonmux/internal/peer"
+	"github.com/lagoonmux/lagoonmux/internal/platform"
+	"github.com/lagoonmux/lagoonmux/internal/platform/dynamo"
 	"github.com/lagoonmux/lagoonmux/internal/routing"
 	"github.com/lagoonmux/lagoonmux/internal/serve"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
@@ -34,11 +41,49 @@
 	entry     *entry.Server
 	operator  *operator.Server
 	registry  *obs.Registry
+	table     platform.Table
+	invalid   error // why the daemon cannot run
+
+	tls        *tls.Config
+	traffic    peer.Traffic
+	peers      *peer.Client
+	members    *members.Task
+	keeper     *manifest.Keeper
+	receivers  map[string]ReceiveHandOver
+	drained    []func(context.Context)
+	refreshing sync.Mutex
+	stateLock  sync.Mutex
+	machine    *chart.Machine // guarded by stateLock
 }
 
+// Option changes how New assembles a daemon.
+type Option func(*Daemon)
+
+// WithTable makes the daemon keep what lasts in t instead of the table service
+// that the settings name.
+func WithTable(t platform.Table) Option { return func(d *Daemon) { d.table = t } }
+
 // New assembles a daemon. Nothing runs before Run.
-func New(s *settings.Settings, log hclog.Logger) *Daemon {
-	d := &Daemon{settings: s, log: log, pool: upstream.NewPool(), router: routing.NewRouter()}
+func New(s *settings.Settings, log hclog.Logger, options ...Option) *Daemon {
+	d := &Daemon{
+		settings:  s,
+		log:       log,
+		pool:      upstream.NewPool(),
+		router:    routing.NewRouter(),
+		receivers: make(map[string]ReceiveHandOver),
+		machine:   chart.MustLoad("daemon").Start(),
+	}
+	for _, o := range options {
+		o(d)
+	}
+	if d.table == nil {
+		p := &s.Platform
+		d.table = dynamo.New(dynamo.Options{Endpoint: p.Table, AccessKey: p.AccessKey, SecretKey: p.SecretKey})
+	}
+	if d.invalid = d.newMembers(); d.invalid != nil {
+		return d
+	}
+	d.newKeeper()
 	backend := serve.New(serve.Unlimited{}, dispatch.New(d.pool, d.router))
 	d.registry = obs.NewRegistry(log, time.Now())
 	api := entry.NewAPI(&d.manifests, backend, d.registry, d.ready)
@@ -47,63 +92,31 @@
 	return d
 }
 
-func (d *Daemon) ready() bool { return !d.draining.Load() }
+func (d *Daemon) ready() bool { return !d.draining.Load() && d.manifests.Load() != nil }
 
 // Run serves until ctx ends, then drains: it reports not ready, finishes the
 // requests in flight and returns. It returns an error if a port cannot be
 // listened on.
 func (d *Daemon) Run(ctx context.Context) error {
+	if d.invalid != nil {
+		return d.invalid
+	}
+	// Peers, membership and the manifest outlive the drain.
+	controlCtx, stopControl := context.WithCancel(context.Background())
+	defer stopControl()
 	g, gctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return d.runMembers(controlCtx) })
+	g.Go(func() error { return d.keeper.Run(controlCtx) })
 	g.Go(func() error { return d.entry.Run(d.settings.Caller) })
 	g.Go(func() error { return d.operator.Run(d.settings.Operator) })
 	g.Go(func() error {
 		<-gctx.Done()
+		defer stopControl()
 		return d.stop()
 	})
 	d.log.Info("daemon started", "name", d.settings.Name, "zone", d.settings.Zone, "caller", d.settings.Caller)
 	err := g.Wait()
+	d.peers.Close()
 	d.log.Info("daemon stopped", "name", d.settings.Name)
 	return err
 }
-
-func (d *Daemon) stop() error {
-	d.draining.Store(true)
-	d.log.Info("drain started", "name", d.settings.Name)
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	err := d.entry.Stop(ctx)
-	d.pool.Close()
-	if oerr := d.operator.Stop(); err == nil {
-		err = oerr
-	}
-	return err
-}
-
-// allLive lists every upstream of the manifest as live.
-func allLive(a *manifest.Active) []routing.Member {
-	members := make([]routing.Member, len(a.Upstreams))
-	for i := range a.Upstreams {
-		members[i] = routing.Member{Upstream: &a.Upstreams[i]}
-	}
-	return members
-}
-
-// Apply implements operator.Control.
-func (d *Daemon) Apply(_ context.Context, file string, text []byte) (int64, error) {
-	m, err := manifest.Parse(file, text)
-	if err != nil {
-		return 0, err
-	}
-	generation := int64(1)
-	if a := d.manifests.Load(); a != nil {
-		generation = a.Generation + 1
-	}
-	a := manifest.NewActive(generation, m)
-	d.router.Update(a, allLive(a))
-	d.manifests.Advance(a)
-	d.log.Info("manifest in force", "generation", generation)
-	return generation, nil
-}
-
-// Manifest implements operator.Control.
-func (d *Daemon) Manifest() *manifest.Active { return d.manifests.Load() }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -20,6 +20,8 @@
 	"github.com/lagoonmux/lagoonmux/internal/completion"
 	"github.com/lagoonmux/lagoonmux/internal/ctl"
 	"github.com/lagoonmux/lagoonmux/internal/daemon"
+	"github.com/lagoonmux/lagoonmux/internal/operator"
+	"github.com/lagoonmux/lagoonmux/internal/platform"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
 	"github.com/lagoonmux/lagoonmux/internal/standin"
 )
@@ -56,7 +58,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
 	go func() { done <- standin.Serve(ctx, path, standin.Platform{}) }()
-	go func() { done <- daemon.New(s, hclog.NewNullLogger()).Run(ctx) }()
+	go func() { done <- daemon.New(s, hclog.NewNullLogger(), daemon.WithTable(platform.NewMemory())).Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		for range 2 {
@@ -64,7 +66,7 @@
 		}
 	})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if err := ctl.New(s.Operator, io.Discard).Apply(path); err != nil {
+		if err := ctl.New(s.Operator, io.Discard).Apply(path, operator.BaseInForce); err != nil {
 			return poll.Continue("apply: %v", err)
 		}
 		return poll.Success()
--- /dev/null
+++ b/internal/daemon/manifest.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/members"
+	"github.com/lagoonmux/lagoonmux/internal/operator"
+	"github.com/lagoonmux/lagoonmux/internal/peer/peerpb"
+)
+
+const manifestFetchTimeout = time.Second
+
+// newKeeper builds the task that keeps the manifest current.
+func (d *Daemon) newKeeper() {
+	d.keeper = manifest.NewKeeper(manifest.KeeperConfig{
+		Name:    d.settings.Name,
+		Store:   manifest.NewStore(d.table),
+		Current: &d.manifests,
+		Fetch:   d.fetchManifest,
+		InForce: d.inForce,
+		Daemons: func() int { return len(d.members.View().Daemons) },
+		Log:     d.log.Named("manifest"),
+	})
+	d.members.OnGeneration(d.keeper.Heard)
+}
+
+func (d *Daemon) fetchManifest(ctx context.Context, address string) (manifest.Packed, error) {
+	resp, err := d.peers.Manifest(ctx, address, manifestFetchTimeout)
+	if err != nil {
+		return manifest.Packed{}, err
+	}
+	return manifest.Packed{Generation: resp.Generation, AtMS: resp.AcceptedMs, Body: resp.Body}, nil
+}
+
+// packedManifest answers a peer that asks for the manifest in force.
+func (d *Daemon) packedManifest(context.Context) *peerpb.ManifestResponse {
+	p := d.keeper.Packed()
+	return &peerpb.ManifestResponse{Generation: p.Generation, AcceptedMs: p.AtMS, Body: p.Body}
+}
+
+// inForce is called on the keeper's goroutine just after a manifest came into
+// force.
+func (d *Daemon) inForce(a *manifest.Active, lag time.Duration) {
+	d.fire("manifest", "manifest", "")
+	d.refresh()
+	d.members.SetSelf(func(r *members.Record) {
+		r.Generation = a.Generation
+		r.LagMS = lag.Milliseconds()
+	})
+}
+
+// Apply implements operator.Control.
+func (d *Daemon) Apply(ctx context.Context, file string, text []byte, base int64) (int64, error) {
+	m, err := manifest.Parse(file, text)
+	if err != nil {
+		return 0, err
+	}
+	if base == operator.BaseInForce {
+		base = d.manifests.Generation()
+	}
+	return d.keeper.Apply(ctx, base, m)
+}
+
+// Manifest implements operator.Control.
+func (d *Daemon) Manifest() *manifest.Active { return d.manifests.Load() }
--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/members"
+	"github.com/lagoonmux/lagoonmux/internal/peer"
+	"github.com/lagoonmux/lagoonmux/internal/peer/peerpb"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+)
+
+const (
+	handOverTimeout = 5 * time.Second
+	farewellWait    = 150 * time.Millisecond // for the last state to reach a few peers
+)
+
+// ReceiveHandOver takes over accepted work from another daemon. It returns
+// false, and has no effect, if it does not take it. Many goroutines call it.
+type ReceiveHandOver func(ctx context.Context, from string, body []byte) bool
+
+// OnHandOver names the receiver of work of a kind. It must be called before Run.
+func (d *Daemon) OnHandOver(kind string, f ReceiveHandOver) { d.receivers[kind] = f }
+
+// newMembers builds the membership task.
+func (d *Daemon) newMembers() error {
+	if d.settings.TLS != nil {
+		config, err := d.settings.TLS.Config()
+		if err != nil {
+			return err
+		}
+		d.tls = config
+	}
+	d.peers = peer.NewClient(d.tls, &d.traffic)
+	self := members.Record{
+		Key:         members.Key{Kind: members.Daemon, Name: d.settings.Name},
+		Incarnation: time.Now().UnixMilli(),
+		Region:      d.settings.Region,
+		Zone:        d.settings.Zone,
+		Address:     d.settings.Peer,
+		Operator:    d.settings.Operator,
+	}
+	group := members.NewGroup(members.DefaultConfig(), self, rand.Uint64())
+	d.members = members.NewTask(group, d.peers, d.log.Named("members"))
+	d.members.OnView(func(*members.View) { d.refresh() })
+	return nil
+}
+
+// runMembers answers peers and exchanges with them until ctx ends.
+func (d *Daemon) runMembers(ctx context.Context) error {
+	l, err := net.Listen("tcp", d.settings.Peer)
+	if err != nil {
+		return errors.Wrapf(err, "listen for peers at %s", d.settings.Peer)
+	}
+	g, gctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		return peer.Serve(gctx, l, d.tls, &d.traffic, peer.Handlers{
+			Exchange: d.members.Exchange,
+			Confirm:  d.members.Confirm,
+			Manifest: d.packedManifest,
+			HandOver: d.receive,
+		})
+	})
+	g.Go(func() error { return d.members.Run(gctx) })
+	d.members.Seed(d.settings.Peers)
+	return g.Wait()
+}
+
+func (d *Daemon) receive(ctx context.Context, from, kind string, body []byte) bool {
+	f := d.receivers[kind]
+	return f != nil && !d.draining.Load() && f(ctx, from, body)
+}
+
+// HandOver gives accepted work of a kind to a live daemon of the region, which
+// it names. After an error with a named daemon, that one may have taken it.
+func (d *Daemon) HandOver(ctx context.Context, kind string, body []byte) (string, error) {
+	for _, r := range d.successors() {
+		taken, err := d.peers.HandOver(ctx, r.Address, handOverTimeout, &peerpb.HandOverRequest{From: d.settings.Name, Kind: kind, Body: body})
+		if err != nil {
+			return r.Name, err
+		}
+		if taken {
+			return r.Name, nil
+		}
+	}
+	return "", errors.Errorf("hand over %s: no daemon takes it", kind)
+}
+
+// successors lists the live daemons of the region in random order.
+func (d *Daemon) successors() []*members.Record {
+	var out []*members.Record
+	for _, r := range d.members.View().Daemons {
+		if r.Name != d.settings.Name && r.Region == d.settings.Region && r.State == members.Live {
+			out = append(out, r)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// refresh gives the router the upstreams of the manifest in force with their
+// states. Any goroutine may call it.
+func (d *Daemon) refresh() {
+	d.refreshing.Lock()
+	defer d.refreshing.Unlock()
+	if a := d.manifests.Load(); a != nil {
+		d.router.Update(a, upstreamStates(a, d.members.View()))
+	}
+}
+
+// upstreamStates joins the manifest's upstreams with what membership knows of
+// them. One that nothing is known of counts as live.
+func upstreamStates(a *manifest.Active, v *members.View) []routing.Member {
+	known := make(map[string]members.State, len(v.Upstreams))
+	for _, r := range v.Upstreams {
+		known[r.Name] = r.State
+	}
+	out := make([]routing.Member, len(a.Upstreams))
+	for i := range a.Upstreams {
+		u := &a.Upstreams[i]
+		out[i] = routing.Member{Upstream: u, State: routingState(known[u.Name])}
+	}
+	return out
+}
+
+func routingState(s members.State) routing.State {
+	switch s {
+	case members.Live:
+		return routing.Live
+	case members.Suspect:
+		return routing.Suspect
+	case members.Leaving:
+		return routing.Leaving
+	default:
+		return routing.Dead
+	}
+}
--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -19,13 +19,25 @@
 		Region:      d.settings.Region,
 		Zone:        d.settings.Zone,
 		Version:     version.Version,
-		Ready:       d.ready() && d.manifests.Load() != nil,
+		State:       string(d.state()),
+		Generation:  d.manifests.Generation(),
+		Trouble:     d.keeper.Trouble(),
+		Ready:       d.ready(),
 		Draining:    d.draining.Load(),
 		Connections: d.entry.Connections(),
 		Unreadable:  d.entry.Refused(),
 	}
-	if a := d.manifests.Load(); a != nil {
-		s.Generation = a.Generation
+	v := d.members.View()
+	for _, r := range v.Daemons {
+		s.Daemons = append(s.Daemons, operator.DaemonStatus{
+			Name: r.Name, Region: r.Region, Zone: r.Zone, Operator: r.Operator,
+			State: r.State.String(), Generation: r.Generation, LagMS: r.LagMS,
+		})
+	}
+	for _, r := range v.Upstreams {
+		s.Upstreams = append(s.Upstreams, operator.UpstreamStatus{
+			Name: r.Name, State: r.State.String(), Incarnation: r.Incarnation, DeadlineMS: r.DeadlineMS,
+		})
 	}
 	return s
 }
--- /dev/null
+++ b/internal/daemon/stop.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/chart"
+	"github.com/lagoonmux/lagoonmux/internal/members"
+)
+
+// OnDrained names a function that stop calls once no request is in flight, to
+// hand over accepted work. It must be called before Run.
+func (d *Daemon) OnDrained(f func(ctx context.Context)) { d.drained = append(d.drained, f) }
+
+// fire moves the daemon's state chart. An event that the chart does not allow
+// is logged and changes nothing.
+func (d *Daemon) fire(e chart.Event, step, peer string) {
+	d.stateLock.Lock()
+	defer d.stateLock.Unlock()
+	if err := d.machine.Fire(e, step, peer); err != nil {
+		d.log.Error("event not allowed", "error", err)
+	}
+}
+
+func (d *Daemon) state() chart.State {
+	d.stateLock.Lock()
+	defer d.stateLock.Unlock()
+	return d.machine.State()
+}
+
+// stop ends the daemon in order: it reports not ready, waits until the
+// balancer has seen that, finishes the requests in flight, hands over accepted
+// work and says farewell to its peers.
+func (d *Daemon) stop() error {
+	d.draining.Store(true)
+	d.fire("stop", "stop", "")
+	d.log.Info("drain started", "name", d.settings.Name)
+	d.members.SetSelf(func(r *members.Record) { r.State = members.Leaving })
+	time.Sleep(time.Duration(d.settings.DrainWaitMS) * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	err := d.entry.Stop(ctx)
+	d.fire("drained", "stop", "")
+	for _, f := range d.drained {
+		f(ctx)
+	}
+	d.fire("handed-over", "stop", "")
+	d.members.SetSelf(func(r *members.Record) { r.State = members.Left })
+	time.Sleep(farewellWait)
+	d.pool.Close()
+	if oerr := d.operator.Stop(); err == nil {
+		err = oerr
+	}
+	return err
+}
--- a/internal/manifest/keeper.go
+++ b/internal/manifest/keeper.go
@@ -59,7 +59,7 @@
 	Store   *Store
 	Current *Current
 	Fetch   Fetch
-	// InForce is called with each manifest just before it comes into force, on
+	// InForce is called with each manifest just after it came into force, on
 	// the keeper's goroutine.
 	InForce func(a *Active, lag time.Duration)
 	Daemons func() int // number of daemons, for the rate of polls
@@ -224,8 +224,8 @@
 	}
 	a := NewActive(p.Generation, m)
 	lag := time.Since(time.UnixMilli(p.AtMS))
-	k.inForce(a, lag)
 	k.packed.Store(&p)
 	k.current.Advance(a)
+	k.inForce(a, lag)
 	k.log.Info("manifest in force", "generation", p.Generation, "from", from, "lag_ms", lag.Milliseconds())
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,6 +15,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/obs"
+	"github.com/lagoonmux/lagoonmux/internal/platform"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
 )
 
@@ -27,13 +28,19 @@
 	ExpvarPath     = "/debug/vars"
 )
 
+// BaseInForce as the base of an apply stands for the generation that is in
+// force at the daemon.
+const BaseInForce int64 = -1
+
 const applyTimeout = 10 * time.Second
 
 // Control is what the operator port needs from the daemon. Its methods may be
 // called from any goroutine.
 type Control interface {
-	// Apply puts a manifest in force and returns its generation.
-	Apply(ctx context.Context, file string, text []byte) (int64, error)
+	// Apply puts a manifest in force as the successor of generation base and
+	// returns its generation. The error is a *manifest.ConflictError if another
+	// was accepted first.
+	Apply(ctx context.Context, file string, text []byte, base int64) (int64, error)
 	// Manifest returns the manifest in force, or nil.
 	Manifest() *manifest.Active
 	// Status describes the daemon.
@@ -44,19 +51,6 @@
 	Explain(id string) (*obs.Record, bool)
 }
 
-// Status is what a daemon says of itself.
-type Status struct {
-	Name        string `json:"name"`
-	Region      string `json:"region"`
-	Zone        string `json:"zone"`
-	Version     string `json:"version"`
-	Generation  int64  `json:"generation"` // of the manifest in force; 0 for none
-	Ready       bool   `json:"ready"`
-	Draining    bool   `json:"draining"`
-	Connections int    `json:"connections"` // of callers
-	Unreadable  int64  `json:"unreadable"`  // requests refused as malformed, too large or too slow
-}
-
 // Applied is the answer to an apply.
 type Applied struct {
 	Generation int64 `json:"generation"`
@@ -126,14 +120,36 @@
 	c, cancel := context.WithTimeout(context.Background(), applyTimeout)
 	defer cancel()
 	file := string(ctx.QueryArgs().Peek("file"))
-	generation, err := s.control.Apply(c, file, ctx.PostBody())
+	base := BaseInForce
+	if ctx.QueryArgs().Has("base") {
+		n, err := ctx.QueryArgs().GetUint("base")
+		if err != nil {
+			fail(ctx, fasthttp.StatusBadRequest, errors.Wrap(err, "base"))
+			return
+		}
+		base = int64(n)
+	}
+	generation, err := s.control.Apply(c, file, ctx.PostBody(), base)
 	if err != nil {
-		fail(ctx, fasthttp.StatusUnprocessableEntity, err)
+		fail(ctx, applyStatus(err), err)
 		return
 	}
 	reply(ctx, fasthttp.StatusOK, Applied{Generation: generation})
 }
 
+// applyStatus returns the HTTP status for a failed apply.
+func applyStatus(err error) int {
+	var conflict *manifest.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return fasthttp.StatusConflict
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknown), errors.Is(err, context.DeadlineExceeded):
+		return fasthttp.StatusServiceUnavailable
+	default:
+		return fasthttp.StatusUnprocessableEntity
+	}
+}
+
 func (s *Server) manifest(ctx *fasthttp.RequestCtx) {
 	a := s.control.Manifest()
 	if a == nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -32,8 +32,8 @@
 // control is a daemon that saw one request.
 type control struct{ *obs.Registry }
 
-func (control) Apply(context.Context, string, []byte) (int64, error) { return 0, nil }
-func (control) Manifest() *manifest.Active                           { return nil }
+func (control) Apply(context.Context, string, []byte, int64) (int64, error) { return 0, nil }
+func (control) Manifest() *manifest.Active                                  { return nil }
 func (control) Status() operator.Status {
 	return operator.Status{Name: "entry-1", Generation: 7, Ready: true}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -75,7 +75,7 @@
 }
 
 func TestCallsOverMutualTLS(t *testing.T) {
-	config, err := peer.TLSConfig(writeTLS(t))
+	config, err := writeTLS(t).Config()
 	assert.NilError(t, err)
 	address := serve(t, config)
 	c := peer.NewClient(config, &peer.Traffic{})
@@ -87,7 +87,7 @@
 	assert.NilError(t, err)
 	assert.Assert(t, taken)
 
-	other, err := peer.TLSConfig(writeTLS(t))
+	other, err := writeTLS(t).Config()
 	assert.NilError(t, err)
 	stranger := peer.NewClient(other, &peer.Traffic{})
 	defer stranger.Close()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,16 +5,13 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"net"
-	"os"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
 	"github.com/lagoonmux/lagoonmux/internal/peer/peerpb"
-	"github.com/lagoonmux/lagoonmux/internal/settings"
 )
 
 // Handlers answers the calls of other daemons. Its methods are called from many
@@ -44,33 +41,6 @@
 	return errors.Wrapf(err, "serve peers at %s", l.Addr())
 }
 
-// TLSConfig reads the certificate, key and authorities that t names, for mutual
-// TLS as server and as client. It returns nil if t is nil.
-func TLSConfig(t *settings.TLS) (*tls.Config, error) {
-	if t == nil {
-		return nil, nil
-	}
-	cert, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
-	if err != nil {
-		return nil, errors.Wrap(err, "load certificate")
-	}
-	pem, err := os.ReadFile(t.Authorities)
-	if err != nil {
-		return nil, errors.Wrap(err, "read authorities")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errors.Errorf("read authorities: no certificate in %s", t.Authorities)
-	}
-	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{cert},
-		RootCAs:      pool,
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-	}, nil
-}
-
 // service adapts Handlers to the generated interface.
 type service struct {
 	peerpb.DRPCPeerUnimplementedServer
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,9 +24,12 @@
 	Operator string   `json:"operator_address" validate:"required,hostname_port"`
 	Peer     string   `json:"peer_address" validate:"required,hostname_port"`
 	Peers    []string `json:"peers,omitempty" validate:"dive,hostname_port"` // peer addresses of daemons to try first
-	Platform Platform `json:"platform"`
-	TLS      *TLS     `json:"tls,omitempty"`
-	LogLevel string   `json:"log_level,omitempty" validate:"omitempty,oneof=trace debug info warn error"`
+	// DrainWaitMS is how long a stopping daemon goes on taking requests after it
+	// reports not ready, until the balancer has seen that.
+	DrainWaitMS int      `json:"drain_wait_ms,omitempty" validate:"gte=0,lte=60000"`
+	Platform    Platform `json:"platform"`
+	TLS         *TLS     `json:"tls,omitempty"`
+	LogLevel    string   `json:"log_level,omitempty" validate:"omitempty,oneof=trace debug info warn error"`
 }
 
 // Platform holds the endpoints of the platform's services, each a URL.
