--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -127,7 +127,9 @@
 		a.log.Error("report of demand failed", "error", err)
 		return
 	}
-	a.gossip.Publish(limits.Topic, data)
+	// Membership passes reports to this task's mailbox. Neither task may wait for
+	// room in the other's.
+	go a.gossip.Publish(limits.Topic, data)
 }
 
 // stats returns the decisions by customer and class, or nil after the task has
