Bench: what one daemon costs, against its upstream and by slopes

scripts/capacity.sh starts a daemon on 2 cores and cheap upstreams, each a process of its own, and reads the daemon's processor time and memory from /proc.

The daemon uses the number of cores of its settings, and as many event loops. The operator port serves profiles.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS = -X github.com/lagoonmux/lagoonmux/internal/version.Version=$(VERSION)
 
-.PHONY: build test lint figures unit generate demo
+.PHONY: build test lint figures unit generate demo capacity
 
 build: ## programs into bin/
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -22,3 +22,6 @@
 
 demo: build ## the main job on loopback; fails unless every outcome is right
 	bin/lagoonstand demo
+
+capacity: build ## slopes of processor time, memory and bytes, for docs/CAPACITY.md
+	scripts/capacity.sh
--- a/cmd/lagoonmux/main.go
+++ b/cmd/lagoonmux/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -38,6 +39,7 @@
 	if *check {
 		return
 	}
+	runtime.GOMAXPROCS(s.Cores)
 	log := obs.NewLogger(os.Stderr, "lagoonmux", s.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -25,6 +25,9 @@
 	app.Version(version.Version)
 	commands := []command{
 		serveCommand(app),
+		benchUpstreamCommand(app),
+		benchEntryCommand(app),
+		benchDecisionsCommand(app),
 	}
 	selected := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/internal/bench/process.go
@@ -0,0 +1,79 @@
+package bench
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const clockTick = 10 * time.Millisecond // unit of processor times in /proc on Linux
+
+// Process reads what a running process has used.
+type Process struct {
+	ID int
+}
+
+// CPU returns the processor time used so far.
+func (p Process) CPU() (time.Duration, error) {
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(p.ID) + "/stat")
+	if err != nil {
+		return 0, errors.Wrap(err, "read processor time")
+	}
+	text := string(data)
+	fields := strings.Fields(text[strings.LastIndexByte(text, ')')+1:])
+	const user, system = 11, 12 // fields after the command
+	if len(fields) <= system {
+		return 0, errors.New("unexpected form of /proc/PID/stat")
+	}
+	ticks := 0
+	for _, f := range fields[user : system+1] {
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			return 0, errors.Wrap(err, "processor time")
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick, nil
+}
+
+// Resident returns the bytes of memory in use.
+func (p Process) Resident() (int64, error) {
+	data, err := os.ReadFile("/proc/" + strconv.Itoa(p.ID) + "/statm")
+	if err != nil {
+		return 0, errors.Wrap(err, "read memory")
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0, errors.New("unexpected form of /proc/PID/statm")
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize()), errors.Wrap(err, "memory")
+}
+
+// Usage is what a process used over a span of time.
+type Usage struct {
+	Cores    float64 // processor time a second
+	Resident int64   // bytes at the end
+}
+
+// Measure runs f and returns what the process used meanwhile.
+func (p Process) Measure(f func() error) (Usage, error) {
+	before, err := p.CPU()
+	if err != nil {
+		return Usage{}, err
+	}
+	start := time.Now()
+	if err := f(); err != nil {
+		return Usage{}, err
+	}
+	span := time.Since(start)
+	after, err := p.CPU()
+	if err != nil {
+		return Usage{}, err
+	}
+	resident, err := p.Resident()
+	return Usage{Cores: (after - before).Seconds() / span.Seconds(), Resident: resident}, err
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,7 +59,7 @@
 	defer cancel()
 	go s.sweep(ctx)
 	err := gnet.Run(s, "tcp://"+address,
-		gnet.WithMulticore(true),
+		gnet.WithNumEventLoop(runtime.GOMAXPROCS(0)),
 		gnet.WithReusePort(true),
 		gnet.WithReadBufferCap(readBytes),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
+	"github.com/valyala/fasthttp/pprofhandler"
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/obs"
@@ -25,6 +26,7 @@
 	HistogramsPath = "/histograms"
 	RequestsPath   = "/requests/" // followed by the id of a request
 	ExpvarPath     = "/debug/vars"
+	ProfilePath    = "/debug/pprof/"
 )
 
 const applyTimeout = 10 * time.Second
@@ -115,6 +117,8 @@
 		reply(ctx, fasthttp.StatusOK, s.control.Report())
 	case strings.HasPrefix(path, RequestsPath):
 		s.explain(ctx, strings.TrimPrefix(path, RequestsPath))
+	case strings.HasPrefix(path, ProfilePath):
+		pprofhandler.PprofHandler(ctx)
 	case path == ExpvarPath:
 		expvarhandler.ExpvarHandler(ctx)
 	default:
