--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= andrade
 LDFLAGS = -X github.com/lagoonmux/lagoonmux/internal/version.Version=$(VERSION)
 
-.PHONY: build test lint figures unit generate demo
+.PHONY: build test lint figures unit generate demo capacity
 
 build: ## programs into bin/
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -23,3 +23,6 @@
 
 demo: build ## the main job on loopback; fails unless every outcome is right
 	scripts/demo.sh $(DEPLOYMENT)
+
+capacity: build ## slopes of processor time, memory and bytes, for docs/CAPACITY.md
+	scripts/capacity.sh
--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -28,6 +28,9 @@
 		loadCommand(app),
 		faultCommand(app),
 		waitCommand(app),
+		benchUpstreamCommand(app),
+		benchEntryCommand(app),
+		benchDecisionsCommand(app),
 	}
 	selected := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
