Group commit to the table under a write budget with a share for each user

Callers' independent writes are joined while earlier commits are under way; a lone commit waits for nobody. One failed condition cancels a whole transaction, so a joined conflict is repeated one by one under the callers' own tokens. Spent budget is refused at once as ErrBudget (nothing written).

Ruled out: a fixed gathering window, which delays every lone order.

--- /dev/null
+++ b/internal/platform/batch/batch_test.go
@@ -0,0 +1,105 @@
+package batch_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/platform"
+	"github.com/lagoonmux/lagoonmux/internal/platform/batch"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// gate is a table whose first commit waits until the gate opens.
+type gate struct {
+	*platform.Memory
+	once    sync.Once
+	entered chan struct{}
+	open    chan struct{}
+}
+
+func (g *gate) Commit(ctx context.Context, token string, writes []platform.Write) error {
+	g.once.Do(func() {
+		close(g.entered)
+		<-g.open
+	})
+	return g.Memory.Commit(ctx, token, writes)
+}
+
+func newGate() *gate {
+	return &gate{Memory: platform.NewMemory(), entered: make(chan struct{}), open: make(chan struct{})}
+}
+
+// TestJoinedConflict checks that a conflict of one caller leaves the commits
+// that were joined with it unharmed.
+func TestJoinedConflict(t *testing.T) {
+	ctx := context.Background()
+	table := newGate()
+	w := batch.New(table, batch.Options{RowsPerSecond: 1000, Daemons: 1, Senders: 1})
+	defer w.Close()
+	put := func(key, token string) error {
+		return w.Commit(ctx, batch.Calls, token, []platform.Write{{Key: "p/" + key, Value: []byte(token)}})
+	}
+	const callers = 8
+	errs := make([]error, callers)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { assert.Check(t, put("first", "first")) })
+	<-table.entered
+	for i := range callers {
+		tasks.Go(func() { errs[i] = put(fmt.Sprint(i/2), fmt.Sprint("t", i)) })
+	}
+	for w.Waiting() < callers {
+	}
+	close(table.open)
+	tasks.Wait()
+	for i := range callers / 2 {
+		failed := 0
+		for _, err := range errs[2*i : 2*i+2] {
+			if err != nil {
+				assert.ErrorIs(t, err, platform.ErrConflict)
+				failed++
+			}
+		}
+		assert.Equal(t, failed, 1, "key %d", i)
+	}
+}
+
+func TestBudget(t *testing.T) {
+	ctx := context.Background()
+	w := batch.New(platform.NewMemory(), batch.Options{RowsPerSecond: 10, Daemons: 1})
+	defer w.Close()
+	commit := func(u batch.User, i int) error {
+		return w.Commit(ctx, u, fmt.Sprint(u, i), []platform.Write{{Key: fmt.Sprint("p/", u, i)}})
+	}
+	var err error
+	done := 0
+	for ; err == nil; done++ {
+		err = commit(batch.Calls, done)
+	}
+	assert.ErrorIs(t, err, batch.ErrBudget)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Assert(t, done > 10, "two seconds of the share of calls, was %d", done)
+	assert.NilError(t, commit(batch.Lots, 0), "the share of lots is untouched")
+}
+
+func TestAbandoned(t *testing.T) {
+	table := newGate()
+	w := batch.New(table, batch.Options{Senders: 1})
+	defer w.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	results := make(chan error, 1)
+	go func() {
+		results <- w.Commit(ctx, batch.Calls, "a", []platform.Write{{Key: "p/a"}})
+	}()
+	<-table.entered
+	cancel()
+	assert.ErrorIs(t, <-results, platform.ErrUnknown, "sent, and not answered")
+	err := w.Commit(ctx, batch.Calls, "b", []platform.Write{{Key: "p/b"}})
+	assert.ErrorIs(t, err, platform.ErrUnavailable, "never sent")
+	close(table.open)
+}
