Calls that may not be repeated are recorded before their first byte

Cause: nothing kept a key from running twice on two daemons or after a retry. A call is dispatched by one conditional commit, taken once by one daemon; a commit whose answer was lost is settled by its token, kept in the row. Not certain in time: the call is never sent, the caller gets not-run, and the daemon withdraws the dispatch behind the answer. A withdrawal checks the token, not the version alone: two daemons racing for a new key both expect version 1, and by version alone one would undo the other's dispatch.

A dispatch outlives a caller that leaves, so that the record holds the answer when the caller asks again.

Ruled out: a lease on the dispatch (a paused holder would come back), and a record 'accepted' before 'dispatched' (one more write for each call, and nobody reads it).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,9 +21,10 @@
 	"github.com/lagoonmux/lagoonmux/internal/operator"
 	"github.com/lagoonmux/lagoonmux/internal/peer"
 	"github.com/lagoonmux/lagoonmux/internal/platform"
+	"github.com/lagoonmux/lagoonmux/internal/platform/batch"
 	"github.com/lagoonmux/lagoonmux/internal/platform/dynamo"
+	"github.com/lagoonmux/lagoonmux/internal/platform/objects"
 	"github.com/lagoonmux/lagoonmux/internal/routing"
-	"github.com/lagoonmux/lagoonmux/internal/serve"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
 	"github.com/lagoonmux/lagoonmux/internal/upstream"
 )
@@ -44,6 +45,8 @@
 	operator  *operator.Server
 	registry  *obs.Registry
 	table     platform.Table
+	objects   platform.Objects
+	writer    *batch.Writer
 	invalid   error // why the daemon cannot run
 
 	tls        *tls.Config
@@ -82,6 +85,9 @@
 		p := &s.Platform
 		d.table = dynamo.New(dynamo.Options{Endpoint: p.Table, AccessKey: p.AccessKey, SecretKey: p.SecretKey})
 	}
+	if d.objects == nil {
+		d.objects = objects.New(s.Platform.Objects)
+	}
 	if d.invalid = d.newMembers(); d.invalid != nil {
 		return d
 	}
@@ -89,7 +95,7 @@
 	d.admission = newAdmission(s, d.router, log.Named("admission"))
 	d.loads = newLoads(d.pool, d.router, log.Named("loads"))
 	d.ShareLimits(d.members)
-	backend := serve.New(d.admission, dispatch.New(d.pool, d.router))
+	backend := d.newBackend(dispatch.New(d.pool, d.router))
 	d.registry = obs.NewRegistry(log, time.Now())
 	api := entry.NewAPI(&d.manifests, backend, d.registry, d.ready)
 	d.entry = entry.NewServer(api, log.Named("entry"), entry.DefaultLimits())
@@ -124,6 +130,7 @@
 	d.log.Info("daemon started", "name", d.settings.Name, "zone", d.settings.Zone, "caller", d.settings.Caller)
 	err := g.Wait()
 	d.peers.Close()
+	d.writer.Close()
 	d.log.Info("daemon stopped", "name", d.settings.Name)
 	return err
 }
--- a/internal/ledger/call.go
+++ b/internal/ledger/call.go
@@ -79,6 +79,20 @@
 	return fire(s, Refuse, now)
 }
 
+// Withdrawn records that this daemon gave up the commit that would have
+// dispatched the call as admitted from s, and whose effect it does not know.
+// If the write succeeds, that commit can no longer take effect; if it meets a
+// conflict, the commit may have, and RefusedBy undoes it.
+func Withdrawn(s Stored, d Decision, reason string, now time.Time) (Stored, platform.Write, error) {
+	r := d.Next.Record
+	r.State = s.Record.State
+	if s.Version == 0 {
+		r.State = requestChart.Initial()
+	}
+	r.Reason = reason
+	return fire(Stored{Version: s.Version, Record: r}, Refuse, now)
+}
+
 // Lost records that the answer of the call that this daemon dispatched as s
 // will not come.
 func Lost(s Stored, reason string, now time.Time) (Stored, platform.Write, error) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -5,9 +5,14 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
 	"github.com/lagoonmux/lagoonmux/internal/call"
 )
 
+var errNoRecorder = errors.New("no ledger to record the call in")
+
 // Ticket is one admitted call. Done must be called once, with the tokens that
 // were generated.
 type Ticket interface {
@@ -31,11 +36,13 @@
 type Backend struct {
 	admitter   Admitter
 	dispatcher Dispatcher
+	recorder   *Recorder
 }
 
-// New returns a backend of the given parts.
-func New(admitter Admitter, dispatcher Dispatcher) *Backend {
-	return &Backend{admitter: admitter, dispatcher: dispatcher}
+// New returns a backend of the given parts. Without a recorder, calls that may
+// not be repeated are refused.
+func New(admitter Admitter, dispatcher Dispatcher, recorder *Recorder) *Backend {
+	return &Backend{admitter: admitter, dispatcher: dispatcher, recorder: recorder}
 }
 
 // Stream implements entry.Backend.
@@ -56,7 +63,14 @@
 		return nil, err
 	}
 	defer t.Done(0)
-	return b.dispatcher.Plain(ctx, c)
+	switch {
+	case c.Repeatable:
+		return b.dispatcher.Plain(ctx, c)
+	case b.recorder == nil:
+		return nil, call.Refused(stepLedger, "", fasthttp.StatusServiceUnavailable, errNoRecorder)
+	default:
+		return b.recorder.Plain(ctx, c)
+	}
 }
 
 // countingSink counts the tokens that pass to another sink.
