Dispatch: attempts found silent, resumed by offset, bounded by a budget

Cause: a stream whose upstream went silent hung until the deadline; a failed stream could be repeated without bound; refusals by protocol counted as runs.

An attempt now fails when no token comes within bounds derived from the service's targets; the next goes on at the next index over a new connection, and the old one is cancelled by /v1/cancel as well, since closing a connection that something in between has lost does not arrive. Retries are a share of a service's requests; a stream that has begun may take attempts in advance, since cutting it costs the caller the whole answer. Short reads are hedged within the same budget. What is left of the patience goes along as Request-Timeout. A call that may not be repeated takes a new connection: on an idle one that the upstream has just closed, the outcome would be unknown without need.

go test ./internal/dispatch brings about each: cut, silence, answers of other requests and attempts, refusals, lost answers, a spent budget, a slow read.

Ruled out: a read deadline set at each token (it moves when half has passed), encoding/json for each event.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,13 +1,16 @@
 // Package dispatch runs the attempts of a call against upstreams and decides
 // whether a failed attempt may be followed by another.
+//
+// An attempt follows another where the request provably did not run, or where
+// it may be repeated and the retry budget of its service allows.
 package dispatch
 
 import (
-	"context"
 	"math/rand/v2"
+	"strconv"
+	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
@@ -16,24 +19,57 @@
 	"github.com/lagoonmux/lagoonmux/internal/upstream"
 )
 
+const maxReplyBytes = 16 << 20
+
+// Headers between lagoonmux and upstreams.
 const (
-	maxAttempts   = 4
-	maxReplyBytes = 16 << 20
+	HeaderRequestID      = "Lagoonmux-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestTimeout = "Request-Timeout" // seconds that are left
 )
 
 // Dispatcher runs calls. Its methods may be called from any goroutine.
 type Dispatcher struct {
-	pool   *upstream.Pool
-	router *routing.Router
+	pool      *upstream.Pool
+	router    *routing.Router
+	canceller *canceller
+	stats     counters
+
+	mu       sync.Mutex
+	services map[string]*serviceState
+}
+
+// serviceState is what the calls of one service share.
+type serviceState struct {
+	budget  *budget
+	latency latency
 }
 
 // New returns a Dispatcher that chooses upstreams by router.
 func New(pool *upstream.Pool, router *routing.Router) *Dispatcher {
-	return &Dispatcher{pool: pool, router: router}
+	return &Dispatcher{
+		pool:      pool,
+		router:    router,
+		canceller: &canceller{pool: pool, slots: make(chan struct{}, maxCancels)},
+		services:  make(map[string]*serviceState),
+	}
+}
+
+// service returns the state of a service and counts one request of it.
+func (d *Dispatcher) service(c *call.Call) *serviceState {
+	d.mu.Lock()
+	s := d.services[c.Service.Name]
+	if s == nil {
+		s = &serviceState{budget: newBudget()}
+		d.services[c.Service.Name] = s
+	}
+	d.mu.Unlock()
+	s.budget.request(c.Service.RetryShare)
+	return s
 }
 
-// begin chooses the upstream for the next attempt.
-func (d *Dispatcher) begin(c *call.Call, tried []string) (routing.Attempt, error) {
+// request describes a call to the router.
+func request(c *call.Call, tried []string) *routing.Request {
 	req := &routing.Request{
 		Service:   c.Service.Name,
 		MaxTokens: c.MaxTokens,
@@ -46,47 +82,24 @@
 		req.Blocks = completion.Blocks(c.Prompt)
 		req.PromptTokens = completion.CountTokens(c.Prompt)
 	}
-	return d.router.Begin(time.Now(), req)
+	return req
 }
 
-// mayRetry tells whether another attempt can do no harm after err.
-func mayRetry(c *call.Call, err error) bool {
-	var ue *upstream.Error
-	if errors.As(err, &ue) && !ue.Sent {
-		return true
+// begin picks the upstream for the next attempt. When all have been tried, it
+// starts over with all of them.
+func (d *Dispatcher) begin(s *attempts, req *routing.Request) (routing.Attempt, bool) {
+	req.Tried = s.tried
+	a, err := d.router.Begin(time.Now(), req)
+	if err != nil && len(s.tried) > 0 {
+		s.tried = s.tried[:0]
+		req.Tried = nil
+		a, err = d.router.Begin(time.Now(), req)
 	}
-	return c.Repeatable
+	return a, err == nil
 }
 
-// failure converts the last error of a call to the outcome it leaves.
-func failure(c *call.Call, peer string, sent bool, err error) *call.Error {
-	status := fasthttp.StatusBadGateway
-	if errors.Is(err, context.DeadlineExceeded) || !time.Now().Before(c.Deadline) {
-		status = fasthttp.StatusGatewayTimeout
-	}
-	if sent {
-		return call.Lost("dispatch", peer, status, err)
-	}
-	if status == fasthttp.StatusBadGateway {
-		status = fasthttp.StatusServiceUnavailable
-	}
-	return call.Refused("dispatch", peer, status, err)
-}
-
-// wasSent tells whether a byte of the request can have reached the upstream.
-func wasSent(err error) bool {
-	var ue *upstream.Error
-	return !errors.As(err, &ue) || ue.Sent
-}
-
-// resultOf tells the router how an attempt ended.
-func resultOf(ctx context.Context, err error) routing.Result {
-	switch {
-	case err == nil:
-		return routing.Succeeded
-	case ctx.Err() != nil:
-		return routing.Canceled
-	default:
-		return routing.Failed
-	}
+// setTimeout passes on what is left of the caller's patience.
+func setTimeout(req *fasthttp.Request, c *call.Call) {
+	left := max(time.Until(c.Deadline), time.Millisecond)
+	req.Header.Set(HeaderRequestTimeout, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
 }
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,241 @@
+package dispatch_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/dispatch"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+	"github.com/lagoonmux/lagoonmux/internal/sse"
+	"github.com/lagoonmux/lagoonmux/internal/upstream"
+)
+
+// fleet is a service whose upstreams answer by one handler, which is told how
+// many attempts came before.
+type fleet struct {
+	*dispatch.Dispatcher
+	service  *manifest.Service
+	active   *manifest.Active
+	attempts atomic.Int64
+	cancels  atomic.Int64
+}
+
+func newFleet(t *testing.T, upstreams int, handle func(n int64, ctx *fasthttp.RequestCtx)) *fleet {
+	f := &fleet{}
+	m := &manifest.Manifest{Services: []manifest.Service{{
+		Name: "s", RetryShare: 0.1, Policy: manifest.RoundRobin,
+		Target: manifest.Target{FirstTokenMS: 100, BetweenTokensMS: 10, TotalMS: 10000},
+	}}}
+	for i := range upstreams {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == "/v1/cancel" {
+				f.cancels.Add(1)
+				return
+			}
+			handle(f.attempts.Add(1), ctx)
+		}}
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() { l.Close() })
+		m.Upstreams = append(m.Upstreams, manifest.Upstream{Name: fmt.Sprint("u", i), Service: "s", Address: l.Addr().String(), Slots: 4})
+	}
+	f.active = manifest.NewActive(1, m)
+	f.service = f.active.Service("s")
+	router := routing.NewRouter()
+	members := make([]routing.Member, len(m.Upstreams))
+	for i := range members {
+		members[i].Upstream = &m.Upstreams[i]
+	}
+	router.Update(f.active, members)
+	pool := upstream.NewPool()
+	t.Cleanup(pool.Close)
+	f.Dispatcher = dispatch.New(pool, router)
+	return f
+}
+
+func (f *fleet) call() *call.Call {
+	return &call.Call{ID: "id1", Service: f.service, Prompt: "p", MaxTokens: 6, Repeatable: true, Method: "GET", Path: "/x", Deadline: time.Now().Add(10 * time.Second)}
+}
+
+// tokens is a sink that checks the order.
+type tokens struct {
+	t *testing.T
+	n int
+}
+
+func (s *tokens) Token(tok call.Token) error {
+	assert.Equal(s.t, tok.Index, s.n)
+	assert.Equal(s.t, tok.Text, completion.WordAt("p", s.n))
+	s.n++
+	return nil
+}
+
+// engine answers tokens from resume_from up to the given one, then does end.
+func engine(ctx *fasthttp.RequestCtx, upTo int, end func(w *bufio.Writer, req *completion.Request)) {
+	var req completion.Request
+	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
+		panic(err)
+	}
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		for i := req.ResumeFrom; i < min(upTo, req.MaxTokens); i++ {
+			writeToken(w, &req, i, req.RequestID)
+		}
+		end(w, &req)
+	})
+}
+
+func writeToken(w *bufio.Writer, req *completion.Request, i int, id string) {
+	finish := ""
+	if i == req.MaxTokens-1 {
+		finish = "length"
+	}
+	c := completion.NewChunk(id, "s", completion.WordAt(req.Prompt, i), finish, false)
+	c.Attempt = req.Attempt
+	data, _ := json.Marshal(c)
+	_, _ = w.Write(sse.Append(nil, sse.Event{ID: int64(i), Data: data}))
+	_ = w.Flush()
+}
+
+func finish(w *bufio.Writer, _ *completion.Request) {
+	_, _ = w.Write(sse.Append(nil, sse.Event{ID: -1, Data: []byte(sse.Done)}))
+}
+
+func cut(*bufio.Writer, *completion.Request) {}
+
+func TestStreamGoesOn(t *testing.T) {
+	silence := make(chan struct{})
+	t.Cleanup(func() { close(silence) })
+	for name, end := range map[string]func(w *bufio.Writer, req *completion.Request){
+		"after a cut":  cut,
+		"after a wait": func(w *bufio.Writer, _ *completion.Request) { _ = w.Flush(); <-silence },
+		"after an answer of another request": func(w *bufio.Writer, req *completion.Request) {
+			writeToken(w, req, 3, "another")
+			finish(w, req)
+		},
+		"after an answer of another attempt": func(w *bufio.Writer, req *completion.Request) {
+			other := *req
+			other.Attempt = 7
+			writeToken(w, &other, 3, req.RequestID)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2, func(n int64, ctx *fasthttp.RequestCtx) {
+				if n == 1 {
+					engine(ctx, 3, end)
+					return
+				}
+				var req completion.Request
+				assert.Check(t, json.Unmarshal(ctx.PostBody(), &req))
+				assert.Check(t, req.ResumeFrom == 3 && req.Attempt == 2 && req.ResumeText != "", "%+v", req)
+				engine(ctx, 6, finish)
+			})
+			sink := &tokens{t: t}
+			assert.NilError(t, f.Stream(context.Background(), f.call(), sink))
+			assert.Equal(t, sink.n, 6)
+			assert.Equal(t, f.attempts.Load(), int64(2))
+		})
+	}
+}
+
+func TestStreamCutForGood(t *testing.T) {
+	f := newFleet(t, 2, func(n int64, ctx *fasthttp.RequestCtx) {
+		if n == 1 {
+			engine(ctx, 3, cut)
+			return
+		}
+		ctx.SetStatusCode(500)
+	})
+	sink := &tokens{t: t}
+	err := f.Stream(context.Background(), f.call(), sink)
+	var ce *call.Error
+	assert.Assert(t, errors.As(err, &ce), "%v", err)
+	assert.Equal(t, ce.Outcome, call.Unknown)
+	assert.Equal(t, sink.n, 3)
+}
+
+func TestRefusedByAll(t *testing.T) {
+	f := newFleet(t, 2, func(_ int64, ctx *fasthttp.RequestCtx) {
+		ctx.SetStatusCode(503)
+		ctx.Response.Header.Set("Lagoonmux-Refused", "leaving")
+		ctx.Response.Header.Set("Retry-After", "7")
+	})
+	c := f.call()
+	c.Repeatable = false
+	_, err := f.Plain(context.Background(), c)
+	var ce *call.Error
+	assert.Assert(t, errors.As(err, &ce), "%v", err)
+	assert.Equal(t, ce.Outcome, call.NotRun)
+	assert.Equal(t, ce.RetryAfter, 7*time.Second)
+	assert.Assert(t, f.attempts.Load() > 2)
+}
+
+// TestMayHaveRun checks that a call that may not be repeated is sent once if
+// its upstream may have run it.
+func TestMayHaveRun(t *testing.T) {
+	for name, handle := range map[string]func(ctx *fasthttp.RequestCtx){
+		"closed": func(ctx *fasthttp.RequestCtx) {
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(net.Conn) {})
+		},
+		"bare 503": func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(503) },
+		"crossed":  func(ctx *fasthttp.RequestCtx) { ctx.Response.Header.Set(dispatch.HeaderRequestID, "another") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 3, func(_ int64, ctx *fasthttp.RequestCtx) { handle(ctx) })
+			c := f.call()
+			c.Repeatable = false
+			_, err := f.Plain(context.Background(), c)
+			var ce *call.Error
+			assert.Assert(t, errors.As(err, &ce), "%v", err)
+			assert.Equal(t, ce.Outcome, call.Unknown)
+			assert.Equal(t, f.attempts.Load(), int64(1))
+		})
+	}
+}
+
+// TestRetryBudget checks that retries are a share of the calls, however many
+// calls fail.
+func TestRetryBudget(t *testing.T) {
+	f := newFleet(t, 3, func(_ int64, ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(500) })
+	const calls = 100
+	for range calls {
+		_, err := f.Plain(context.Background(), f.call())
+		assert.Assert(t, err != nil)
+	}
+	assert.Assert(t, f.attempts.Load() <= calls+calls/10+10, "%d attempts", f.attempts.Load())
+}
+
+func TestHedge(t *testing.T) {
+	release := make(chan struct{})
+	var armed atomic.Bool
+	f := newFleet(t, 2, func(_ int64, ctx *fasthttp.RequestCtx) {
+		if armed.CompareAndSwap(true, false) {
+			<-release
+		}
+		ctx.SetBodyString("found")
+	})
+	for range 30 {
+		_, err := f.Plain(context.Background(), f.call())
+		assert.NilError(t, err)
+	}
+	armed.Store(true)
+	reply, err := f.Plain(context.Background(), f.call())
+	assert.NilError(t, err)
+	assert.Equal(t, string(reply.Body), "found")
+	assert.Assert(t, f.Stats().Hedged > 0)
+	close(release)
+}
--- /dev/null
+++ b/internal/dispatch/stats.go
@@ -0,0 +1,30 @@
+package dispatch
+
+import "sync/atomic"
+
+// counters counts since the daemon started.
+type counters struct {
+	attempts, crossed, resumed, hedged, silent, denied atomic.Int64
+}
+
+// Stats counts what dispatch did since the daemon started.
+type Stats struct {
+	Attempts int64 `json:"attempts"`
+	Crossed  int64 `json:"crossed"` // answers of other requests or attempts, dropped
+	Resumed  int64 `json:"resumed"` // attempts that went on in the middle of an answer
+	Hedged   int64 `json:"hedged"`  // second attempts of short reads
+	Silent   int64 `json:"silent"`  // attempts given up for lack of progress
+	Denied   int64 `json:"denied"`  // calls that were given up with patience left
+}
+
+// Stats returns the counters. It may be called from any goroutine.
+func (d *Dispatcher) Stats() Stats {
+	return Stats{
+		Attempts: d.stats.attempts.Load(),
+		Crossed:  d.stats.crossed.Load(),
+		Resumed:  d.stats.resumed.Load(),
+		Hedged:   d.stats.hedged.Load(),
+		Silent:   d.stats.silent.Load(),
+		Denied:   d.stats.denied.Load(),
+	}
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"net"
 	"strings"
 	"time"
 
@@ -15,11 +16,28 @@
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/routing"
 	"github.com/lagoonmux/lagoonmux/internal/sse"
+	"github.com/lagoonmux/lagoonmux/internal/trace"
+	"github.com/lagoonmux/lagoonmux/internal/upstream"
 )
 
+const drainPatience = 20 * time.Millisecond // for the end of a body whose last event has come
+
 // errCut says that a stream ended before its last token.
 var errCut = errors.New("stream cut")
 
+// sinkError is an error of the caller's sink, which ends the call.
+type sinkError struct{ error }
+
+// Unwrap returns the error of the sink.
+func (e sinkError) Unwrap() error { return e.error }
+
+// Kept is the part of an answer that earlier attempts have brought.
+type Kept struct {
+	Tokens   int
+	Text     string
+	Attempts int // number of the last attempt
+}
+
 // answer is the part of a streamed answer that has been delivered.
 type answer struct {
 	text strings.Builder
@@ -31,73 +49,161 @@
 // order, each once, whatever attempts it takes. The error is a *call.Error, or
 // the error of the sink.
 func (d *Dispatcher) Stream(ctx context.Context, c *call.Call, sink call.Sink) error {
-	var tried []string
-	var last error
-	var ans answer
-	sent := false
-	peer := ""
-	for len(tried) < maxAttempts {
-		a, err := d.begin(c, tried)
-		if err != nil {
-			if last == nil {
-				last = err
-			}
-			break
+	return d.Resume(ctx, c, Kept{}, sink)
+}
+
+// Resume is Stream for an answer of which a part is kept already.
+func (d *Dispatcher) Resume(ctx context.Context, c *call.Call, kept Kept, sink call.Sink) error {
+	s := &attempts{call: c, budget: d.service(c).budget, number: kept.Attempts}
+	ans := &answer{next: kept.Tokens}
+	ans.text.WriteString(kept.Text)
+	req := request(c, nil)
+	for {
+		a, ok := d.begin(s, req)
+		if !ok {
+			return s.failure(ctx)
 		}
-		u := a.Upstream
-		peer = u.Name
-		tried = append(tried, u.Name)
-		err = d.streamAttempt(ctx, c, &a, len(tried), &ans, sink)
-		a.Done(time.Now(), resultOf(ctx, err))
+		before := ans.next
+		s.number++
+		err := d.streamAttempt(ctx, s, &a, ans, sink)
 		if err == nil {
+			a.Done(time.Now(), routing.Succeeded)
 			return nil
 		}
-		last = err
-		sent = sent || wasSent(err)
-		if ctx.Err() != nil {
-			break
+		var gone sinkError
+		if errors.As(err, &gone) {
+			a.Done(time.Now(), routing.Canceled)
+			return gone.error
+		}
+		a.Done(time.Now(), resultOf(ctx, err))
+		s.note(err)
+		s.record(err, ans.next > before)
+		if !s.again(ctx, ans.next > 0) {
+			d.stats.denied.Add(1)
+			return s.failure(ctx)
 		}
+		s.wait(ctx)
 	}
-	return failure(c, peer, sent, last)
 }
 
-func (d *Dispatcher) streamAttempt(ctx context.Context, c *call.Call, a *routing.Attempt, attempt int, ans *answer, sink call.Sink) error {
-	u := a.Upstream
+// streamAttempt runs one attempt and delivers what it brings.
+func (d *Dispatcher) streamAttempt(ctx context.Context, s *attempts, a *routing.Attempt, ans *answer, sink call.Sink) *attemptError {
+	c, u := s.call, a.Upstream
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	if err := fillEngineRequest(req, c, u, attempt, ans); err != nil {
-		return err
+	if err := fillEngineRequest(req, c, u, s.number, ans); err != nil {
+		return &attemptError{Peer: u.Name, Err: err}
+	}
+	d.stats.attempts.Add(1)
+	if ans.next > 0 {
+		d.stats.resumed.Add(1)
 	}
-	x, err := d.pool.Start(ctx, u.Address, req, attempt > 1)
+	c.Trace.Add(trace.Step{At: time.Now(), Name: trace.Attempt, Peer: u.Name, Attempt: s.number})
+	bounds := progressOf(c, time.Now())
+	x, err := d.pool.StartWith(ctx, u.Address, req, upstream.Options{
+		Fresh:    s.fruitless > 0 || s.last != nil,
+		HeaderBy: time.Now().Add(bounds.first),
+	})
 	if err != nil {
+		return d.abandon(s, u, nil, err)
+	}
+	if err := statusError(u.Name, x); err != nil {
+		x.Cancel()
 		return err
 	}
-	if code := x.Response.StatusCode(); code != fasthttp.StatusOK {
+	if err := d.readTokens(x, s, a, bounds, ans, sink); err != nil {
+		return d.abandon(s, u, x, err)
+	}
+	x.Drain(drainPatience)
+	return nil
+}
+
+// abandon ends an attempt that failed, at the upstream too if it may still run.
+func (d *Dispatcher) abandon(s *attempts, u *manifest.Upstream, x *upstream.Exchange, err error) *attemptError {
+	ae := failed(u.Name, err)
+	if x != nil {
+		ae.Reused = x.Reused()
 		x.Cancel()
-		return errors.Errorf("upstream %s: status %d", u.Name, code)
 	}
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		d.stats.silent.Add(1)
+	}
+	if ae.Ran {
+		d.canceller.cancel(u.Address, s.call.ID, s.number)
+	}
+	return ae
+}
+
+// readTokens delivers the tokens of one attempt until the last.
+func (d *Dispatcher) readTokens(x *upstream.Exchange, s *attempts, a *routing.Attempt, bounds progress, ans *answer, sink call.Sink) error {
 	events := sse.NewReader(bufio.NewReader(x.Body()))
+	var parser chunkParser
+	expect := time.Now()
+	x.ExpectBy(expect.Add(bounds.first))
+	first := true
 	for {
 		e, err := events.Next()
 		if err != nil {
-			x.Cancel()
 			return err
 		}
 		if string(e.Data) == sse.Done {
 			break
 		}
-		if err := ans.accept(e, c.ID, attempt, sink, a); err != nil {
-			x.Cancel()
+		chunk, own, err := parser.parse(e.Data, s.call.ID)
+		if err != nil {
+			return err
+		}
+		if !own || chunk.attempt != s.number {
+			d.dropCrossed(s, a.Upstream)
+			continue
+		}
+		now := time.Now()
+		if first {
+			first = false
+			a.FirstToken(now, chunk.cached)
+			s.call.Trace.Add(trace.Step{At: now, Name: trace.FirstToken, Peer: a.Upstream.Name, Attempt: s.number})
+		}
+		expect = extend(x, expect, now, bounds.between)
+		if err := ans.accept(e.ID, chunk, sink); err != nil {
 			return err
 		}
 	}
-	x.Cancel()
 	if !ans.done {
 		return errCut
 	}
 	return nil
 }
 
+// extend moves the read deadline on once half of it has passed, which spares
+// setting it at every token.
+func extend(x *upstream.Exchange, last, now time.Time, between time.Duration) time.Time {
+	if now.Sub(last) < between/2 {
+		return last
+	}
+	x.ExpectBy(now.Add(between))
+	return now
+}
+
+func (d *Dispatcher) dropCrossed(s *attempts, u *manifest.Upstream) {
+	d.stats.crossed.Add(1)
+	s.call.Trace.Add(trace.Step{At: time.Now(), Name: trace.Crossed, Peer: u.Name, Attempt: s.number})
+}
+
+// accept delivers a token if it is the next of this answer.
+func (a *answer) accept(index int64, c chunk, sink call.Sink) error {
+	if int(index) != a.next {
+		return errors.Errorf("token %d received, %d expected", index, a.next)
+	}
+	if err := sink.Token(call.Token{Index: a.next, Text: c.text, Finish: c.finish}); err != nil {
+		return sinkError{err}
+	}
+	a.text.WriteString(c.text)
+	a.next++
+	a.done = c.finish != ""
+	return nil
+}
+
 func fillEngineRequest(req *fasthttp.Request, c *call.Call, u *manifest.Upstream, attempt int, ans *answer) error {
 	body, err := json.Marshal(&completion.Request{
 		Model:      c.Service.Name,
@@ -116,6 +222,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + u.Address + completion.Path)
 	req.Header.SetContentType("application/json")
+	setTimeout(req, c)
 	req.SetBodyRaw(body)
 	return nil
 }
@@ -131,28 +238,3 @@
 		return 1
 	}
 }
-
-// accept delivers the token of one event if it is the next of this answer.
-func (a *answer) accept(e sse.Event, id string, attempt int, sink call.Sink, at *routing.Attempt) error {
-	var chunk completion.Response
-	if err := json.Unmarshal(e.Data, &chunk); err != nil {
-		return errors.Wrap(err, "decode event")
-	}
-	if chunk.ID != id || chunk.Attempt != attempt {
-		return nil // crossed answer of another request or attempt
-	}
-	if int(e.ID) != a.next {
-		return errors.Errorf("token %d received, %d expected", e.ID, a.next)
-	}
-	if chunk.Usage != nil {
-		at.FirstToken(time.Now(), chunk.Usage.CachedTokens)
-	}
-	text, finish := chunk.FirstChoice()
-	if err := sink.Token(call.Token{Index: a.next, Text: text, Finish: finish}); err != nil {
-		return err
-	}
-	a.text.WriteString(text)
-	a.next++
-	a.done = finish != ""
-	return nil
-}
