Upstream membership: shares of the watch, notices from list, API, refusals and peers

Each daemon watches the region's upstreams that hash to it, confirms silence over a new connection and through two peers, and spreads states at once and loads at a rate that falls with the number of upstreams. A reclaim notice of the daemon's own VM starts the planned stop.

--- /dev/null
+++ b/internal/daemon/cloud.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/platform/cloud"
+)
+
+const (
+	listEvery   = 2 * time.Second // by a daemon of a small deployment
+	listShare   = 20              // daemons beyond which the list is read more rarely
+	noticeEvery = 500 * time.Millisecond
+)
+
+// cloudWatch reads the list of VMs and the reclaim notices. It belongs to one
+// goroutine.
+type cloudWatch struct {
+	d        *Daemon
+	client   *cloud.Client
+	ids      map[string]string // VM by the name of the daemon or upstream on it
+	lastList time.Time
+	trouble  string
+}
+
+// runCloud seeds membership from the list of VMs and takes in reclaim notices
+// until ctx ends. While the cloud API is down, it changes nothing.
+func (d *Daemon) runCloud(ctx context.Context) error {
+	if d.settings.Platform.Cloud == "" {
+		return nil
+	}
+	w := &cloudWatch{d: d, client: cloud.New(d.settings.Platform.Cloud), ids: make(map[string]string)}
+	defer w.client.Close()
+	ticker := time.NewTicker(noticeEvery)
+	defer ticker.Stop()
+	for {
+		now := time.Now()
+		if now.Sub(w.lastList) >= w.listWait() {
+			w.lastList = now
+			w.log("list of VMs", w.readList(ctx))
+		}
+		w.log("notices", w.readNotices(ctx))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// listWait keeps the reads of all daemons together flat.
+func (w *cloudWatch) listWait() time.Duration {
+	return listEvery * time.Duration(max(1, len(w.d.members.View().Daemons)/listShare))
+}
+
+// log writes one line when a call begins to fail or succeeds again.
+func (w *cloudWatch) log(what string, err error) {
+	trouble := ""
+	if err != nil {
+		trouble = what + ": " + err.Error()
+	}
+	if (trouble == "") != (w.trouble == "") {
+		w.d.log.Warn("cloud API changed", "trouble", trouble)
+	}
+	w.trouble = trouble
+}
+
+func (w *cloudWatch) readList(ctx context.Context) error {
+	vms, err := w.client.VMs(ctx)
+	if err != nil {
+		return err
+	}
+	seeds := append([]string(nil), w.d.settings.Peers...)
+	ids := make(map[string]string, len(vms))
+	for i := range vms {
+		vm := &vms[i]
+		ids[vm.Name] = vm.ID
+		if vm.Role == cloud.RoleDaemon {
+			seeds = append(seeds, vm.Address)
+		}
+		if vm.Leaving {
+			w.notice(vm.Name, vm.DeadlineMS, "list of VMs")
+		}
+	}
+	w.ids = ids
+	w.d.members.Seed(seeds)
+	return nil
+}
+
+// readNotices asks for the notices of the upstreams that this daemon watches,
+// and of its own VM.
+func (w *cloudWatch) readNotices(ctx context.Context) error {
+	byID := make(map[string]string)
+	var ids []string
+	for _, name := range append(w.d.watch.Mine(), w.d.settings.Name) {
+		if id, ok := w.ids[name]; ok {
+			byID[id] = name
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	notices, err := w.client.Notices(ctx, ids)
+	if err != nil {
+		return err
+	}
+	for _, n := range notices {
+		w.notice(byID[n.VM], n.DeadlineMS, "notice")
+	}
+	return nil
+}
+
+// notice takes in the announced end of an upstream, or of this daemon's VM.
+func (w *cloudWatch) notice(name string, deadlineMS int64, from string) {
+	switch {
+	case name == w.d.settings.Name:
+		w.d.reclaimed(time.UnixMilli(deadlineMS))
+	case w.d.declares(name):
+		w.d.members.Notice(name, deadlineMS, from)
+	}
+}
+
+// declares tells whether the manifest in force has the upstream.
+func (d *Daemon) declares(upstream string) bool {
+	a := d.manifests.Load()
+	if a == nil {
+		return false
+	}
+	for i := range a.Upstreams {
+		if a.Upstreams[i].Name == upstream {
+			return true
+		}
+	}
+	return false
+}
+
+// reclaimed begins a planned stop that ends before the VM does.
+func (d *Daemon) reclaimed(deadline time.Time) {
+	d.stopOnce.Do(func() {
+		d.log.Info("own reclaim announced", "deadline", deadline)
+		d.stopBy.Store(&deadline)
+		close(d.reclaim)
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,6 +51,12 @@
 	peers      *peer.Client
 	members    *members.Task
 	keeper     *manifest.Keeper
+	watch      *members.Watch
+	reports    *loadClient
+	leaving    *members.LeavingSignal
+	reclaim    chan struct{} // closed when the reclaim of this VM is announced
+	stopOnce   sync.Once
+	stopBy     atomic.Pointer[time.Time] // end of this VM
 	receivers  map[string]ReceiveHandOver
 	drained    []func(context.Context)
 	refreshing sync.Mutex
@@ -72,6 +78,7 @@
 		log:       log,
 		pool:      upstream.NewPool(),
 		router:    routing.NewRouter(),
+		reclaim:   make(chan struct{}),
 		receivers: make(map[string]ReceiveHandOver),
 		machine:   chart.MustLoad("daemon").Start(),
 	}
@@ -86,6 +93,7 @@
 		return d
 	}
 	d.newKeeper()
+	d.newWatch()
 	d.admission = newAdmission(s, d.router, log.Named("admission"))
 	d.loads = newLoads(d.pool, d.router, log.Named("loads"))
 	d.ShareLimits(d.members)
@@ -117,13 +125,17 @@
 	g.Go(func() error { return d.entry.Run(d.settings.Caller) })
 	g.Go(func() error { return d.operator.Run(d.settings.Operator) })
 	g.Go(func() error {
-		<-gctx.Done()
+		select {
+		case <-gctx.Done():
+		case <-d.reclaim:
+		}
 		defer stopControl()
 		return d.stop()
 	})
 	d.log.Info("daemon started", "name", d.settings.Name, "zone", d.settings.Zone, "caller", d.settings.Caller)
 	err := g.Wait()
 	d.peers.Close()
+	d.reports.close()
 	d.log.Info("daemon stopped", "name", d.settings.Name)
 	return err
 }
--- a/internal/daemon/loads.go
+++ b/internal/daemon/loads.go
@@ -30,8 +30,9 @@
 	cacheEventEvict = "evict"
 )
 
-// loads is the task that asks the upstreams for their load and for the changes
-// of their prefix caches, and passes both to the router.
+// loads is the task that asks the model upstreams for the changes of their
+// prefix caches and passes them to the router. Their load comes from the watch,
+// which spreads what one daemon asked.
 type loads struct {
 	pool   *upstream.Pool
 	router *routing.Router
@@ -79,10 +80,12 @@
 	g.SetLimit(pollsAtOnce)
 	for i := range a.Upstreams {
 		u := &a.Upstreams[i]
-		model := a.Service(u.Service).Kind == manifest.Model
+		if a.Service(u.Service).Kind != manifest.Model {
+			continue
+		}
 		g.Go(func() error {
-			if err := l.poll(ctx, u, model); err != nil {
-				l.log.Debug("poll of load failed", "upstream", u.Name, "error", err)
+			if err := l.poll(ctx, u); err != nil {
+				l.log.Debug("poll of cache events failed", "upstream", u.Name, "error", err)
 			}
 			return nil
 		})
@@ -90,18 +93,9 @@
 	_ = g.Wait()
 }
 
-func (l *loads) poll(ctx context.Context, u *manifest.Upstream, model bool) error {
+func (l *loads) poll(ctx context.Context, u *manifest.Upstream) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	var report routing.LoadReport
-	if err := l.get(ctx, u, pathLoad, maxLoadBytes, &report); err != nil {
-		return err
-	}
-	report.Upstream = u.Name
-	l.router.ObserveLoad(time.Now(), report)
-	if !model {
-		return nil
-	}
 	return l.pollCache(ctx, u)
 }
 
--- a/internal/daemon/manifest.go
+++ b/internal/daemon/manifest.go
@@ -44,6 +44,7 @@
 // force.
 func (d *Daemon) inForce(a *manifest.Active, lag time.Duration) {
 	d.fire("manifest", "manifest", "")
+	d.watchUpstreams(a)
 	d.refresh()
 	d.members.SetSelf(func(r *members.Record) {
 		r.Generation = a.Generation
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -78,11 +78,14 @@
 		return peer.Serve(gctx, l, d.tls, &d.traffic, peer.Handlers{
 			Exchange: d.members.Exchange,
 			Confirm:  d.members.Confirm,
+			Reaches:  d.watch.Reaches,
 			Manifest: d.packedManifest,
 			HandOver: d.receive,
 		})
 	})
 	g.Go(func() error { return d.members.Run(gctx) })
+	g.Go(func() error { return d.watch.Run(gctx) })
+	g.Go(func() error { return d.runCloud(gctx) })
 	d.members.Seed(d.settings.Peers)
 	return g.Wait()
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -8,6 +8,10 @@
 	"github.com/lagoonmux/lagoonmux/internal/members"
 )
 
+// handOverReserve is what a reclaim notice leaves for handing over accepted
+// work.
+const handOverReserve = 3 * time.Second
+
 // OnDrained names a function that stop calls once no request is in flight, to
 // hand over accepted work. It must be called before Run.
 func (d *Daemon) OnDrained(f func(ctx context.Context)) { d.drained = append(d.drained, f) }
@@ -37,12 +41,14 @@
 	d.log.Info("drain started", "name", d.settings.Name)
 	d.members.SetSelf(func(r *members.Record) { r.State = members.Leaving })
 	time.Sleep(time.Duration(d.settings.DrainWaitMS) * time.Millisecond)
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), d.drainDeadline())
 	defer cancel()
 	err := d.entry.Stop(ctx)
 	d.fire("drained", "stop", "")
+	handOver, cancelHandOver := context.WithTimeout(context.Background(), handOverReserve)
+	defer cancelHandOver()
 	for _, f := range d.drained {
-		f(ctx)
+		f(handOver)
 	}
 	d.fire("handed-over", "stop", "")
 	d.members.SetSelf(func(r *members.Record) { r.State = members.Left })
@@ -53,3 +59,13 @@
 	}
 	return err
 }
+
+// drainDeadline returns when the requests in flight must have ended: before
+// the VM ends, if its reclaim was announced.
+func (d *Daemon) drainDeadline() time.Time {
+	deadline := time.Now().Add(drainTimeout)
+	if end := d.stopBy.Load(); end != nil && end.Add(-handOverReserve).Before(deadline) {
+		return end.Add(-handOverReserve)
+	}
+	return deadline
+}
--- /dev/null
+++ b/internal/daemon/upstreams_test.go
@@ -0,0 +1,127 @@
+package daemon_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/operator"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+)
+
+// runner is an upstream that only reports its load.
+type runner struct {
+	address string
+	silent  atomic.Bool
+	leaving atomic.Bool
+	epoch   atomic.Int64
+	server  *http.Server
+}
+
+func newRunner(t *testing.T) *runner {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := &runner{address: l.Addr().String()}
+	r.epoch.Store(1)
+	r.server = &http.Server{Handler: r}
+	go func() { _ = r.server.Serve(l) }()
+	t.Cleanup(func() { _ = r.server.Close() })
+	return r
+}
+
+// ServeHTTP implements http.Handler.
+func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if r.silent.Load() {
+		<-req.Context().Done()
+		return
+	}
+	l := routing.LoadReport{At: time.Now(), Epoch: r.epoch.Load(), Leaving: r.leaving.Load(), LeavingInMS: 5000}
+	_ = json.NewEncoder(w).Encode(l)
+}
+
+// withRunners starts daemons whose manifest declares n runners u0, u1 and so on.
+func withRunners(t *testing.T, daemons, n int) (*group, []*runner) {
+	t.Helper()
+	g := newGroup(t, daemons)
+	var runners []*runner
+	var declared []string
+	for i := range n {
+		r := newRunner(t)
+		runners = append(runners, r)
+		declared = append(declared, fmt.Sprintf(`{"name": "u%d", "service": "fortune", "address": %q, "zone": "a", "vm_class": "g", "slots": 4}`, i, r.address))
+	}
+	path := filepath.Join(t.TempDir(), "manifest.json")
+	text := fmt.Sprintf(`{
+	"services": [{"name": "fortune", "kind": "model", "target": {"total_ms": 5000}}],
+	"upstreams": [%s],
+	"customers": [{"name": "editors", "key": %q, "weight": 1, "requests_per_second": 9, "tokens_per_second": 900, "concurrency": 9}],
+	"vm_classes": [{"name": "g", "on_demand_per_hour": 2, "reclaimable_per_hour": 1}]}`, strings.Join(declared, ","), key)
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	g.await("all daemons known", func(s operator.Status) bool { return len(s.Daemons) == daemons })
+	assert.NilError(t, pollApply(t, g.daemons[0], path))
+	g.awaitUpstream("u0", "live")
+	return g, runners
+}
+
+// awaitUpstream polls until every daemon sees the upstream in the state.
+func (g *group) awaitUpstream(name, state string) {
+	g.t.Helper()
+	g.await(name+" "+state, func(s operator.Status) bool { return stateOf(s, name) == state })
+}
+
+func stateOf(s operator.Status, upstream string) string {
+	for _, u := range s.Upstreams {
+		if u.Name == upstream {
+			return u.State
+		}
+	}
+	return ""
+}
+
+func TestLeavingUpstreamIsKnownEverywhereAndReturnsOnlyRestarted(t *testing.T) {
+	g, runners := withRunners(t, 3, 4)
+	runners[0].leaving.Store(true)
+	g.awaitUpstream("u0", "leaving")
+	select {
+	case <-g.daemons[1].Leaving().Leaving("u0"):
+	case <-time.After(patience):
+		t.Fatal("work at u0 was not told")
+	}
+	runners[0].leaving.Store(false)
+	runners[0].epoch.Add(1)
+	g.awaitUpstream("u0", "live")
+
+	g.awaitUpstream("u1", "live")
+	g.daemons[2].NoticeRefusal("u1")
+	g.awaitUpstream("u1", "leaving")
+}
+
+func TestSilentUpstreamIsSuspectedThenDeadAndComesBack(t *testing.T) {
+	g, runners := withRunners(t, 3, 2)
+	runners[0].silent.Store(true)
+	g.awaitUpstream("u0", "suspect")
+	g.awaitUpstream("u0", "dead")
+	runners[0].silent.Store(false)
+	g.awaitUpstream("u0", "live")
+}
+
+func TestUpstreamOfAStoppedWatcherIsWatchedByAnother(t *testing.T) {
+	g, runners := withRunners(t, 3, 6)
+	g.daemons[0].stop()
+	g.daemons = g.daemons[1:]
+	for i, r := range runners {
+		assert.NilError(t, r.server.Shutdown(context.Background()))
+		g.awaitUpstream(fmt.Sprintf("u%d", i), "dead")
+	}
+}
--- a/internal/members/message.go
+++ b/internal/members/message.go
@@ -19,6 +19,18 @@
 
 type setSeeds struct{ addresses []string }
 
+// observe is an event of an upstream, taken in only while it is in the given
+// state unless that is anyState.
+type observe struct {
+	event UpstreamEvent
+	only  State
+}
+
+const anyState State = -1
+
+// forget drops the upstreams that are not kept.
+type forget struct{ keep map[string]bool }
+
 type received struct {
 	req   Message
 	reply chan<- Message
@@ -55,6 +67,23 @@
 
 func (m setSeeds) handle(_ context.Context, t *Task, _ time.Time) { t.group.Seed(m.addresses) }
 
+func (m observe) handle(_ context.Context, t *Task, now time.Time) {
+	old := t.group.Get(Key{Upstream, m.event.Name})
+	if m.only != anyState && (old == nil || old.State != m.only) {
+		return
+	}
+	changed, err := t.group.Observe(now, m.event)
+	if err != nil {
+		t.log.Error("event not allowed", "error", err)
+		return
+	}
+	if changed {
+		t.log.Info("upstream observed", "upstream", m.event.Name, "event", string(m.event.Event), "from", m.event.From)
+	}
+}
+
+func (m forget) handle(_ context.Context, t *Task, _ time.Time) { t.group.forgetUpstreams(m.keep) }
+
 func (m received) handle(_ context.Context, t *Task, now time.Time) {
 	m.reply <- t.group.Receive(now, m.req)
 	if r := t.group.Get(Key{Daemon, m.req.From}); r != nil {
--- a/internal/members/task.go
+++ b/internal/members/task.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"github.com/lagoonmux/lagoonmux/internal/peer"
 	"github.com/lagoonmux/lagoonmux/internal/peer/peerpb"
@@ -18,6 +20,8 @@
 	probesAtOnce = 16
 )
 
+var errEnded = errors.New("membership has ended")
+
 // View is the membership at one moment. It is immutable.
 type View struct {
 	Self      Record
@@ -35,6 +39,7 @@
 	view   atomic.Pointer[View]
 	probes chan struct{} // one element for each probe that may start
 	wg     sync.WaitGroup
+	ended  chan struct{} // closed at the end of Run
 
 	mu     sync.Mutex
 	topics map[string][]func(from string, value []byte)
@@ -55,6 +60,7 @@
 		log:    log,
 		inbox:  make(chan message, mailboxSize),
 		probes: make(chan struct{}, probesAtOnce),
+		ended:  make(chan struct{}),
 		topics: make(map[string][]func(string, []byte)),
 	}
 	t.publishView()
@@ -109,12 +115,16 @@
 	case t.inbox <- received{req: fromRequest(req), reply: reply}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
+	case <-t.ended:
+		return nil, errEnded
 	}
 	select {
 	case m := <-reply:
 		return toResponse(m), nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
+	case <-t.ended:
+		return nil, errEnded
 	}
 }
 
@@ -128,7 +138,38 @@
 	return err == nil && reached
 }
 
-func (t *Task) post(m message) { t.inbox <- m }
+// Notice says that an upstream's reclaim or stop was announced, or that it
+// refused work because it leaves. A deadline of 0 is unknown.
+func (t *Task) Notice(upstream string, deadlineMS int64, from string) {
+	v := t.View()
+	for _, r := range v.Upstreams {
+		if r.Name == upstream && r.State == Leaving && (r.DeadlineMS != 0 || deadlineMS == 0) {
+			return
+		}
+	}
+	t.post(observe{event: UpstreamEvent{Name: upstream, Region: v.Self.Region, Event: Noticed, DeadlineMS: deadlineMS, From: from}, only: anyState})
+}
+
+// others returns up to n random other live daemons of the region.
+func (t *Task) others(n int) []*Record {
+	var out []*Record
+	v := t.View()
+	for _, d := range v.Daemons {
+		if d.Name != v.Self.Name && d.Region == v.Self.Region && d.State == Live {
+			out = append(out, d)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
+// post gives m to the task; after the task's end it is dropped.
+func (t *Task) post(m message) {
+	select {
+	case t.inbox <- m:
+	case <-t.ended:
+	}
+}
 
 // Run exchanges records until ctx ends.
 func (t *Task) Run(ctx context.Context) error {
@@ -137,6 +178,7 @@
 	urgent := time.NewTimer(0)
 	defer urgent.Stop()
 	defer t.wg.Wait()
+	defer close(t.ended)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -37,7 +37,7 @@
 	since time.Time
 }
 
-// Traffic counts the bytes of all calls between daemons, both ways.
+// Traffic counts the bytes of control messages, both ways.
 type Traffic struct {
 	Sent     atomic.Int64
 	Received atomic.Int64
@@ -65,6 +65,15 @@
 	return err == nil && resp.Reached, err
 }
 
+// ConfirmUpstream asks the peer at address whether it reaches the upstream at
+// target.
+func (c *Client) ConfirmUpstream(ctx context.Context, address string, timeout time.Duration, target string) (bool, error) {
+	resp, err := call(ctx, c, address, "confirm upstream", timeout, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.ConfirmResponse, error) {
+		return p.Confirm(ctx, &peerpb.ConfirmRequest{Address: target, Upstream: true})
+	})
+	return err == nil && resp.Reached, err
+}
+
 // Manifest returns the manifest in force at the peer at address.
 func (c *Client) Manifest(ctx context.Context, address string, timeout time.Duration) (*peerpb.ManifestResponse, error) {
 	return call(ctx, c, address, "manifest", timeout, func(ctx context.Context, p peerpb.DRPCPeerClient) (*peerpb.ManifestResponse, error) {
@@ -126,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	nc = &countingConn{Conn: nc, traffic: c.traffic}
+	nc = Count(nc, c.traffic)
 	if c.tls != nil {
 		config := c.tls.Clone()
 		config.ServerName, _, _ = net.SplitHostPort(address)
@@ -175,6 +184,9 @@
 	c.idle = nil
 }
 
+// Count returns c with its bytes counted in traffic.
+func Count(c net.Conn, traffic *Traffic) net.Conn { return &countingConn{Conn: c, traffic: traffic} }
+
 // countingConn counts the bytes of a connection.
 type countingConn struct {
 	net.Conn
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -18,7 +18,8 @@
 // goroutines.
 type Handlers struct {
 	Exchange func(context.Context, *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error)
-	Confirm  func(context.Context, string) bool
+	Confirm  func(ctx context.Context, address string) bool // reaches a daemon
+	Reaches  func(ctx context.Context, address string) bool // reaches an upstream
 	Manifest func(context.Context) *peerpb.ManifestResponse
 	HandOver func(ctx context.Context, from, kind string, body []byte) bool
 }
@@ -54,7 +55,11 @@
 
 // Confirm implements peerpb.DRPCPeerServer.
 func (s *service) Confirm(ctx context.Context, req *peerpb.ConfirmRequest) (*peerpb.ConfirmResponse, error) {
-	return &peerpb.ConfirmResponse{Reached: s.h.Confirm(ctx, req.Address)}, nil
+	reaches := s.h.Confirm
+	if req.Upstream {
+		reaches = s.h.Reaches
+	}
+	return &peerpb.ConfirmResponse{Reached: reaches(ctx, req.Address)}, nil
 }
 
 // Manifest implements peerpb.DRPCPeerServer.
@@ -78,5 +83,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: c, traffic: l.traffic}, nil
+	return Count(c, l.traffic), nil
 }
