--- a/internal/daemon/cloud.go
+++ b/internal/daemon/cloud.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/platform/cloud"
 )
 
@@ -83,6 +85,7 @@
 		}
 	}
 	w.ids = ids
+	w.d.setVMs(vms)
 	w.d.members.Seed(seeds)
 	return nil
 }
@@ -121,18 +124,29 @@
 	}
 }
 
-// declares tells whether the manifest in force has the upstream.
+// declares tells whether the upstream is one of the manifest in force or of the
+// fleet.
 func (d *Daemon) declares(upstream string) bool {
 	a := d.manifests.Load()
 	if a == nil {
 		return false
 	}
-	for i := range a.Upstreams {
-		if a.Upstreams[i].Name == upstream {
-			return true
-		}
+	return slices.ContainsFunc(d.joined.with(a), func(u *manifest.Upstream) bool { return u.Name == upstream })
+}
+
+// setVMs takes in a new list of VMs.
+func (d *Daemon) setVMs(vms []cloud.VM) {
+	a := d.manifests.Load()
+	if a == nil {
+		d.joined.setVMs(vms)
+		return
+	}
+	before := len(d.joined.with(a))
+	d.joined.setVMs(vms)
+	if a.Fleet != nil && (len(d.joined.with(a)) != before || len(a.Fleet.Templates) > 0) {
+		d.watchUpstreams(a)
+		d.refresh()
 	}
-	return false
 }
 
 // reclaimed begins a planned stop that ends before the VM does.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 	watch      *members.Watch
 	reports    *loadClient
 	leaving    *members.LeavingSignal
+	joined     joinedUpstreams
 	reclaim    chan struct{} // closed when the reclaim of this VM is announced
 	stopOnce   sync.Once
 	stopBy     atomic.Pointer[time.Time] // end of this VM
@@ -78,6 +79,7 @@
 		log:       log,
 		pool:      upstream.NewPool(),
 		router:    routing.NewRouter(),
+		joined:    joinedUpstreams{busy: make(map[string]int)},
 		reclaim:   make(chan struct{}),
 		receivers: make(map[string]ReceiveHandOver),
 		machine:   chart.MustLoad("daemon").Start(),
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,151 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/fleet"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/members"
+	"github.com/lagoonmux/lagoonmux/internal/platform/cloud"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+)
+
+const (
+	fleetEvery = time.Second
+	ordersPath = "/orders"
+)
+
+// joinedUpstreams keeps the upstreams that the fleet runs beside those of the
+// manifest, and the newest load of each upstream. Its methods may be called
+// from any goroutine.
+type joinedUpstreams struct {
+	mu   sync.Mutex
+	vms  []cloud.VM
+	busy map[string]int // requests running and waiting
+}
+
+func (j *joinedUpstreams) setVMs(vms []cloud.VM) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.vms = vms
+}
+
+func (j *joinedUpstreams) observe(l routing.LoadReport) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.busy[l.Upstream] = l.Running + l.Waiting
+}
+
+func (j *joinedUpstreams) busyOf(upstream string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.busy[upstream]
+}
+
+// with returns the upstreams of the manifest and those that joined.
+func (j *joinedUpstreams) with(a *manifest.Active) []*manifest.Upstream {
+	j.mu.Lock()
+	joined := fleet.Joined(a, j.vms)
+	j.mu.Unlock()
+	out := make([]*manifest.Upstream, 0, len(a.Upstreams)+len(joined))
+	for i := range a.Upstreams {
+		out = append(out, &a.Upstreams[i])
+	}
+	for i := range joined {
+		out = append(out, &joined[i])
+	}
+	return out
+}
+
+// runFleet takes part in the fleet duty until ctx ends.
+func (d *Daemon) runFleet(ctx context.Context) error {
+	if d.settings.Platform.Cloud == "" {
+		return nil
+	}
+	client := cloud.New(d.settings.Platform.Cloud)
+	defer client.Close()
+	duty := fleet.NewDuty(d.settings.Name, d.settings.Region, d.table)
+	m := fleet.NewManager(duty, d.table, client, sendOrder, time.Now, d.log.Named("fleet"))
+	ticker := time.NewTicker(fleetEvery)
+	defer ticker.Stop()
+	for trouble := ""; ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			trouble = d.stepFleet(ctx, now, m, trouble)
+		}
+	}
+}
+
+// stepFleet runs one step, logs an error that differs from the last, and
+// returns it.
+func (d *Daemon) stepFleet(ctx context.Context, now time.Time, m *fleet.Manager, last string) string {
+	before := m.Duty.State()
+	if d.draining.Load() {
+		return last
+	}
+	err := m.Step(ctx, now, fleet.State{Active: d.manifests.Load(), Runners: d.runners})
+	if s := m.Duty.State(); s != before {
+		d.log.Info("fleet duty", "state", s, "fence", m.Duty.Fence())
+	}
+	if err == nil {
+		return ""
+	}
+	if err.Error() != last {
+		d.log.Warn("fleet step failed; what runs is kept", "error", err)
+	}
+	return err.Error()
+}
+
+// runners lists the upstreams of a service for the planner.
+func (d *Daemon) runners(service string) []fleet.Runner {
+	states := make(map[string]members.State)
+	for _, r := range d.members.View().Upstreams {
+		states[r.Name] = r.State
+	}
+	var out []fleet.Runner
+	for _, u := range d.joined.with(d.manifests.Load()) {
+		if u.Service != service {
+			continue
+		}
+		out = append(out, fleet.Runner{
+			Name: u.Name, Zone: u.Zone, VMClass: u.VMClass, Reclaimable: u.Reclaimable, Slots: u.Slots,
+			Busy: float64(d.joined.busyOf(u.Name)), Gone: states[u.Name] >= members.Leaving,
+		})
+	}
+	return out
+}
+
+// sendOrder implements fleet.SendOrder.
+func sendOrder(ctx context.Context, address string, o fleet.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + address + ordersPath)
+	req.SetBodyRaw(body)
+	req.SetConnectionClose()
+	deadline, _ := ctx.Deadline()
+	if err := fasthttp.DoDeadline(req, resp, deadline); err != nil {
+		return errors.Wrapf(err, "order %s", address)
+	}
+	switch resp.StatusCode() {
+	case fasthttp.StatusOK:
+		return nil
+	case fasthttp.StatusConflict:
+		return fleet.ErrFenced
+	default:
+		return errors.Errorf("order %s: status %d", address, resp.StatusCode())
+	}
+}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -86,6 +86,7 @@
 	g.Go(func() error { return d.members.Run(gctx) })
 	g.Go(func() error { return d.watch.Run(gctx) })
 	g.Go(func() error { return d.runCloud(gctx) })
+	g.Go(func() error { return d.runFleet(gctx) })
 	d.members.Seed(d.settings.Peers)
 	return g.Wait()
 }
@@ -128,20 +129,19 @@
 	d.refreshing.Lock()
 	defer d.refreshing.Unlock()
 	if a := d.manifests.Load(); a != nil {
-		d.router.Update(a, upstreamStates(a, d.members.View()))
+		d.router.Update(a, upstreamStates(d.joined.with(a), d.members.View()))
 	}
 }
 
-// upstreamStates joins the manifest's upstreams with what membership knows of
+// upstreamStates joins the upstreams with what membership knows of
 // them. One that nothing is known of counts as live.
-func upstreamStates(a *manifest.Active, v *members.View) []routing.Member {
+func upstreamStates(upstreams []*manifest.Upstream, v *members.View) []routing.Member {
 	known := make(map[string]members.State, len(v.Upstreams))
 	for _, r := range v.Upstreams {
 		known[r.Name] = r.State
 	}
-	out := make([]routing.Member, len(a.Upstreams))
-	for i := range a.Upstreams {
-		u := &a.Upstreams[i]
+	out := make([]routing.Member, len(upstreams))
+	for i, u := range upstreams {
 		out[i] = routing.Member{Upstream: u, State: routingState(known[u.Name])}
 	}
 	return out
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -35,16 +35,19 @@
 	d.leaving = members.NewLeavingSignal()
 	d.members.OnView(d.leaving.Update)
 	d.reports = newLoadClient(&d.traffic)
-	observe := func(l routing.LoadReport) { d.router.ObserveLoad(time.Now(), l) }
+	observe := func(l routing.LoadReport) {
+		d.joined.observe(l)
+		d.router.ObserveLoad(time.Now(), l)
+	}
 	d.watch = members.NewWatch(d.members, d.peers, d.reports.report, observe, d.log.Named("watch"))
 	d.members.OnView(func(*members.View) { d.watch.Reassign() })
 }
 
 // watchUpstreams gives the watch the upstreams of a.
 func (d *Daemon) watchUpstreams(a *manifest.Active) {
-	refs := make([]members.UpstreamRef, len(a.Upstreams))
-	for i := range a.Upstreams {
-		u := &a.Upstreams[i]
+	all := d.joined.with(a)
+	refs := make([]members.UpstreamRef, len(all))
+	for i, u := range all {
 		refs[i] = members.UpstreamRef{Name: u.Name, Address: u.Address, Zone: u.Zone}
 	}
 	d.watch.SetUpstreams(refs)
--- a/internal/manifest/check.go
+++ b/internal/manifest/check.go
@@ -10,6 +10,7 @@
 const (
 	defaultRetryShare   = 0.1
 	defaultMaxBodyBytes = 1 << 20
+	defaultWeightLoads  = 0.2 // a second
 )
 
 // check applies the rules that concern more than one field.
@@ -20,6 +21,7 @@
 	uniqueNames(doc, "customers", m.Customers, func(c *Customer) string { return c.Name })
 	m.checkKeys(doc)
 	m.checkUpstreams(doc, services, classes)
+	m.checkTemplates(doc, services)
 	for i := range m.Services {
 		m.Services[i].check(doc, fmt.Sprintf("services[%d]", i))
 	}
@@ -65,6 +67,23 @@
 	}
 }
 
+func (m *Manifest) checkTemplates(doc *jsonc.Document, services map[string]bool) {
+	if m.Fleet == nil {
+		return
+	}
+	seen := make(map[string]bool, len(m.Fleet.Templates))
+	for i, t := range m.Fleet.Templates {
+		field := fmt.Sprintf("fleet.templates[%d].service", i)
+		if !services[t.Service] {
+			doc.Reject(field, "no service is named %q", t.Service)
+		}
+		if seen[t.Service] {
+			doc.Reject(field, "service %q has a template already", t.Service)
+		}
+		seen[t.Service] = true
+	}
+}
+
 func (s *Service) check(doc *jsonc.Document, field string) {
 	if s.Kind == Plain && len(s.Routes) == 0 {
 		doc.Reject(field+".routes", "a plain service needs at least one route")
@@ -96,6 +115,9 @@
 }
 
 func (m *Manifest) setDefaults() {
+	if m.Fleet != nil && m.Fleet.WeightLoads == 0 {
+		m.Fleet.WeightLoads = defaultWeightLoads
+	}
 	for i := range m.Services {
 		s := &m.Services[i]
 		if s.Class == "" {
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -118,6 +118,20 @@
 	MaxUpstreams       int     `json:"max_upstreams" validate:"required,min=1"`
 	MaxPerHour         float64 `json:"max_per_hour" validate:"required,gt=0"` // spend
 	MaxReclaimableFrac float64 `json:"max_reclaimable_share" validate:"gte=0,lte=1"`
+	WeightLoads        float64 `json:"weight_loads_per_second,omitempty" validate:"gte=0"` // that the weight store serves
+	// Templates describes the upstreams that the fleet duty starts, at most one
+	// for each service. A service without one is never enlarged.
+	Templates []Template `json:"templates,omitempty" validate:"dive"`
+}
+
+// Template describes the upstreams of one service that the fleet duty starts.
+// Zone, VM class, address and name come from the list of VMs.
+type Template struct {
+	Service     string `json:"service" validate:"required"`
+	ChecksFence bool   `json:"checks_fence"`
+	Slots       int    `json:"slots" validate:"required,min=1"`
+	CacheTokens int    `json:"cache_tokens,omitempty" validate:"gte=0"`
+	Version     string `json:"version,omitempty"` // of the model to load
 }
 
 // Parse validates a manifest given as JSON with comments. Errors of the text
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -37,6 +37,7 @@
 type Platform struct {
 	Table   string
 	Objects string
+	Cloud   string
 }
 
 // serve adds the services to g.
