--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,13 @@
 	peers      *peer.Client
 	members    *members.Task
 	keeper     *manifest.Keeper
+	watch      *members.Watch
+	reports    *loadClient
+	leaving    *members.LeavingSignal
+	joined     joinedUpstreams
+	reclaim    chan struct{} // closed when the reclaim of this VM is announced
+	stopOnce   sync.Once
+	stopBy     atomic.Pointer[time.Time] // end of this VM
 	receivers  map[string]ReceiveHandOver
 	drained    []func(context.Context)
 	refreshing sync.Mutex
@@ -75,6 +82,8 @@
 		log:       log,
 		pool:      upstream.NewPool(),
 		router:    routing.NewRouter(),
+		joined:    joinedUpstreams{busy: make(map[string]int)},
+		reclaim:   make(chan struct{}),
 		receivers: make(map[string]ReceiveHandOver),
 		machine:   chart.MustLoad("daemon").Start(),
 	}
@@ -92,6 +101,7 @@
 		return d
 	}
 	d.newKeeper()
+	d.newWatch()
 	d.admission = newAdmission(s, d.router, log.Named("admission"))
 	d.loads = newLoads(d.pool, d.router, log.Named("loads"))
 	d.ShareLimits(d.members)
@@ -123,7 +133,10 @@
 	g.Go(func() error { return d.entry.Run(d.settings.Caller) })
 	g.Go(func() error { return d.operator.Run(d.settings.Operator) })
 	g.Go(func() error {
-		<-gctx.Done()
+		select {
+		case <-gctx.Done():
+		case <-d.reclaim:
+		}
 		defer stopControl()
 		return d.stop()
 	})
@@ -131,6 +144,7 @@
 	err := g.Wait()
 	d.peers.Close()
 	d.writer.Close()
+	d.reports.close()
 	d.log.Info("daemon stopped", "name", d.settings.Name)
 	return err
 }
