Models of the ledger protocol, and that each broken variant is caught

make model-check runs spin over three models (calls, lots, streams) and thirteen variants that each leave out one rule.

Found while writing: a withdrawal by version alone undoes another daemon's dispatch (RELEASE_BY_VERSION), and adoption must decide on one read of the row. A first model of streams let a variant without the index check pass, since no engine in it ignored where to begin; now one may.

--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,12 @@
 DEPLOYMENT ?= andrade
 LDFLAGS = -X github.com/lagoonmux/lagoonmux/internal/version.Version=$(VERSION)
 
-.PHONY: build test lint figures unit generate demo capacity
+.PHONY: build test lint figures unit generate demo capacity model-check
 
 build: ## programs into bin/
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
 
-test: lint figures unit ## everything that decides a verdict
+test: lint figures unit model-check ## everything that decides a verdict
 
 lint:
 	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
@@ -21,6 +21,9 @@
 unit:
 	$(GO) tool gotestsum --format pkgname -- -race -count=1 ./...
 
+model-check: ## the ledger's models, and that each broken variant is caught
+	spec/check.sh
+
 demo: build ## the main job on loopback; fails unless every outcome is right
 	scripts/demo.sh $(DEPLOYMENT)
 
