Accepted lots and bookings: kept before the 202, owned, handed over, adopted

Prefer: respond-async keeps the input as an object and the lot as two rows (what was asked; who owns it) before the 202. The owner records progress and renews its lease in one write every 5 s within its share of the write budget; each owner writes progress under a name of its own, so a paused one can't overwrite a later one's. A stopping daemon hands lots to a peer directly with what they have brought, which works with the table down; what no peer takes is released, and any daemon adopts a lot whose lease has lapsed. Records are conditional on the row's version, so two owners end with one answer. Bookings are dispatched by a commit before the first byte, for good.

GET /v1/requests/{id} gives outcome or answer so far on any daemon, and goes on with the stream after Last-Event-ID. An answer about a lookup that failed bears no outcome: it would speak of a request that it doesn't know.

Ruled out: moving the row at the end (a key used again would find no row and run again); progress under one name (a paused owner would shorten it).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/platform/dynamo"
 	"github.com/lagoonmux/lagoonmux/internal/platform/objects"
 	"github.com/lagoonmux/lagoonmux/internal/routing"
+	"github.com/lagoonmux/lagoonmux/internal/serve"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
 	"github.com/lagoonmux/lagoonmux/internal/upstream"
 )
@@ -47,6 +48,7 @@
 	table     platform.Table
 	objects   platform.Objects
 	writer    *batch.Writer
+	lots      *serve.Lots
 	invalid   error // why the daemon cannot run
 
 	tls        *tls.Config
@@ -108,6 +110,7 @@
 	backend := d.newBackend(dispatch.New(d.pool, d.router))
 	d.registry = obs.NewRegistry(log, time.Now())
 	api := entry.NewAPI(&d.manifests, backend, d.registry, d.ready)
+	api.KeepRequests(backend)
 	d.entry = entry.NewServer(api, log.Named("entry"), entry.DefaultLimits())
 	d.operator = operator.NewServer(d, s.TLS)
 	return d
@@ -129,6 +132,7 @@
 	g.Go(func() error { return d.runMembers(controlCtx) })
 	g.Go(func() error { return d.keeper.Run(controlCtx) })
 	g.Go(func() error { return d.admission.run(controlCtx) })
+	g.Go(func() error { return d.lots.Run(controlCtx) })
 	g.Go(func() error { return d.loads.run(controlCtx, &d.manifests) })
 	g.Go(func() error { return d.entry.Run(d.settings.Caller) })
 	g.Go(func() error { return d.operator.Run(d.settings.Operator) })
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"context"
+
 	"github.com/lagoonmux/lagoonmux/internal/dispatch"
 	"github.com/lagoonmux/lagoonmux/internal/members"
 	"github.com/lagoonmux/lagoonmux/internal/platform/batch"
@@ -8,11 +10,21 @@
 )
 
 // newBackend builds what runs calls, with the records that some need. Records
-// under way are awaited when the daemon stops.
+// under way are awaited, and lots handed over, when the daemon stops.
 func (d *Daemon) newBackend(dispatcher *dispatch.Dispatcher) *serve.Backend {
 	d.writer = batch.New(d.table, batch.Options{})
-	d.members.OnView(func(v *members.View) { d.writer.SetDaemons(len(sharers(v))) })
 	recorder := serve.NewRecorder(d.settings.Name, d.table, d.objects, d.writer, dispatcher, d.log.Named("ledger"))
+	d.lots = serve.NewLots(serve.LotsConfig{
+		Daemon: d.settings.Name, Table: d.table, Objects: d.objects, Writer: d.writer,
+		Admitter: d.admission, Dispatcher: dispatcher, Manifests: &d.manifests, Peers: d, Log: d.log.Named("lots"),
+	})
+	d.members.OnView(func(v *members.View) {
+		n := len(sharers(v))
+		d.writer.SetDaemons(n)
+		d.lots.SetDaemons(n)
+	})
+	d.OnHandOver(serve.LotKind, d.lots.Receive)
+	d.OnDrained(func(ctx context.Context) { d.lots.HandOver(ctx) })
 	d.OnDrained(recorder.Close)
-	return serve.New(d.admission, dispatcher, recorder)
+	return serve.New(d.admission, dispatcher, recorder, d.lots)
 }
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -51,6 +51,7 @@
 	backend   Backend
 	observer  Observer
 	ready     func() bool
+	requests  Requests // nil where none are kept
 }
 
 // NewAPI returns an API that runs calls by backend under the manifest in force
@@ -103,6 +104,8 @@
 		a.servePlain(ctx, x, c, path)
 	case modelPath(path):
 		a.serveModel(ctx, x, c, path)
+	case strings.HasPrefix(path, requestsPrefix) && a.requests != nil:
+		a.serveRequest(ctx, x, c, strings.TrimPrefix(path, requestsPrefix))
 	default:
 		x.respondError(c, refuse(fasthttp.StatusNotFound, "no such path"))
 	}
@@ -177,6 +180,10 @@
 		x.respondError(c, err)
 		return
 	}
+	if a.wantsAsync(x) {
+		a.accept(ctx, x, c)
+		return
+	}
 	ctx, cancel := x.withDeadline(ctx, c.Deadline)
 	defer cancel()
 	reply, err := a.backend.Plain(ctx, c)
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -35,6 +35,10 @@
 		x.respondError(c, err)
 		return
 	}
+	if a.wantsAsync(x) {
+		a.accept(ctx, x, c)
+		return
+	}
 	if req.Stream && !x.Request.Header.IsHTTP11() {
 		x.respondError(c, refuse(fasthttp.StatusHTTPVersionNotSupported, "streams need HTTP/1.1"))
 		return
--- /dev/null
+++ b/internal/serve/lots.go
@@ -0,0 +1,268 @@
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/dispatch"
+	"github.com/lagoonmux/lagoonmux/internal/ledger"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/platform"
+	"github.com/lagoonmux/lagoonmux/internal/platform/batch"
+)
+
+const (
+	stepLots = "lots"
+
+	leaseTime     = 15 * time.Second
+	keepInterval  = 5 * time.Second // between two records of progress
+	acceptTimeout = 2 * time.Second
+)
+
+// Errors of a record of an open lot.
+var (
+	errNotOwner = errors.New("another daemon owns the lot")
+	errEnded    = errors.New("the lot has ended")
+
+	// errDispatched says that a dispatched lot has no progress to record, and
+	// no lease: it is its daemon's for good.
+	errDispatched = errors.New("the lot is dispatched")
+)
+
+// LotDispatcher runs admitted calls, and goes on with answers of which a part
+// is kept.
+type LotDispatcher interface {
+	Dispatcher
+	Resume(ctx context.Context, c *call.Call, kept dispatch.Kept, sink call.Sink) error
+}
+
+// Peers hands lots to another daemon, which it names. After an error with a
+// named daemon, that one may have taken the lot.
+type Peers interface {
+	HandOver(ctx context.Context, kind string, body []byte) (string, error)
+}
+
+// LotKind is the kind under which lots are handed over.
+const LotKind = "lot"
+
+// Lots owns the accepted lots of this daemon. Its methods may be called from
+// any goroutine.
+type Lots struct {
+	daemon     string
+	table      platform.Table
+	objects    platform.Objects
+	writer     Committer
+	admitter   Admitter
+	dispatcher LotDispatcher
+	manifests  *manifest.Current
+	peers      Peers
+	log        hclog.Logger
+	daemons    atomic.Int64 // live ones
+
+	mu     sync.Mutex
+	held   map[string]*held // by id
+	closed bool
+	tasks  sync.WaitGroup
+}
+
+// LotsConfig names the parts that lots need.
+type LotsConfig struct {
+	Daemon     string
+	Table      platform.Table
+	Objects    platform.Objects
+	Writer     Committer
+	Admitter   Admitter
+	Dispatcher LotDispatcher
+	Manifests  *manifest.Current
+	Peers      Peers
+	Log        hclog.Logger
+}
+
+// NewLots returns the owner of no lots.
+func NewLots(c LotsConfig) *Lots {
+	l := &Lots{
+		daemon: c.Daemon, table: c.Table, objects: c.Objects, writer: c.Writer, admitter: c.Admitter,
+		dispatcher: c.Dispatcher, manifests: c.Manifests, peers: c.Peers, log: c.Log,
+		held: make(map[string]*held),
+	}
+	l.daemons.Store(batch.DefaultDaemons)
+	return l
+}
+
+// SetDaemons tells how many daemons share the work of watching lots.
+func (l *Lots) SetDaemons(n int) { l.daemons.Store(int64(max(n, 1))) }
+
+// Accept keeps a call as a lot and begins it. Once it returns without error,
+// the lot is owed. The id names it. The error is a *call.Error.
+func (l *Lots) Accept(ctx context.Context, c *call.Call) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	lot := newLot(c)
+	input := []byte(c.Prompt)
+	if c.Prompt == "" {
+		input = append([]byte(nil), c.Body...)
+	}
+	token := uuid.NewString()
+	hold, writes, err := ledger.AcceptLot(lot, l.daemon, token, leaseTime, time.Now())
+	if err != nil {
+		return "", call.Refused(stepLots, "", fasthttp.StatusInternalServerError, err)
+	}
+	if err := l.objects.Put(ctx, ledger.InputObject(lot.ID), input); err != nil {
+		return "", call.Refused(stepLots, "objects", fasthttp.StatusServiceUnavailable, err)
+	}
+	for wait := minBackoff; ; wait *= 2 {
+		err = l.writer.Commit(ctx, batch.Lots, token, writes)
+		if err == nil {
+			l.hold(newHeld(hold, input))
+			return lot.ID, nil
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			return l.acceptedBefore(ctx, newHeld(hold, input))
+		}
+		if errors.Is(err, batch.ErrBudget) || !sleep(ctx, wait) {
+			// The row may exist: the lot may run, though it is not owed.
+			return "", acceptError(err)
+		}
+	}
+}
+
+func acceptError(err error) error {
+	if errors.Is(err, platform.ErrUnknown) {
+		return call.Lost(stepLots, peerTable, fasthttp.StatusServiceUnavailable, err)
+	}
+	return call.Refused(stepLots, peerTable, fasthttp.StatusServiceUnavailable, err)
+}
+
+// acceptedBefore answers for a lot whose row exists: by the same commit, or by
+// an earlier call with the same key.
+func (l *Lots) acceptedBefore(ctx context.Context, h *held) (string, error) {
+	id := h.spec.ID
+	lot, _, err := l.readLot(ctx, id)
+	if err != nil {
+		return "", call.Lost(stepLots, peerTable, fasthttp.StatusServiceUnavailable, err)
+	}
+	if lot.Hash != h.spec.Hash || lot.Customer != h.spec.Customer {
+		err := errors.New("the idempotency key was used with another request")
+		return "", call.Refused(stepLots, "", fasthttp.StatusUnprocessableEntity, err)
+	}
+	open, version, err := l.readOpen(ctx, id)
+	if err == nil && open.Owns(h.lot.Open.Token) {
+		h.lot.Version = version
+		l.hold(h)
+	}
+	return id, nil
+}
+
+func newLot(c *call.Call) ledger.Lot {
+	lot := ledger.Lot{
+		ID: uuid.NewString(), Customer: c.Customer.Name, Service: c.Service.Name, Class: c.Class,
+		Deadline: c.Deadline, MaxTokens: c.MaxTokens, Chat: c.Chat,
+		Method: c.Method, Path: c.Path, ContentType: c.ContentType, Key: c.IdempotencyKey, Repeatable: c.Repeatable,
+	}
+	if c.IdempotencyKey != "" {
+		lot.ID = ledger.RequestID(c.Customer.Name, c.IdempotencyKey)
+	}
+	body := c.Body
+	if c.Prompt != "" {
+		body = []byte(c.Prompt)
+	}
+	lot.Hash = ledger.HashRequest(lot.Service, lot.Method, lot.Path, lot.ContentType+strconv.Itoa(lot.MaxTokens), body)
+	return lot
+}
+
+// hold begins to work at a lot, unless this daemon does already or is leaving.
+func (l *Lots) hold(h *held) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := h.spec.ID
+	if l.closed || l.held[id] != nil {
+		return false
+	}
+	l.held[id] = h
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	l.tasks.Go(func() {
+		defer close(h.stopped)
+		defer cancel()
+		l.own(ctx, h)
+	})
+	return true
+}
+
+func (l *Lots) drop(h *held) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held[h.spec.ID] == h {
+		delete(l.held, h.spec.ID)
+	}
+}
+
+func (l *Lots) find(id string) *held {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held[id]
+}
+
+// Held returns the number of lots that this daemon owns.
+func (l *Lots) Held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.held)
+}
+
+func (l *Lots) readLot(ctx context.Context, id string) (ledger.Lot, int64, error) {
+	var lot ledger.Lot
+	row, err := l.table.Get(ctx, ledger.LotKey(id))
+	if err != nil {
+		return lot, 0, err
+	}
+	return lot, row.Version, ledger.Decode(row, &lot)
+}
+
+func (l *Lots) readOpen(ctx context.Context, id string) (ledger.Open, int64, error) {
+	var open ledger.Open
+	row, err := l.table.Get(ctx, ledger.OpenKey(id))
+	if err != nil {
+		return open, 0, err
+	}
+	return open, row.Version, ledger.Decode(row, &open)
+}
+
+// progress is the content of a progress object.
+type progress struct {
+	Tokens int    `json:"tokens"`
+	Text   string `json:"text"`
+	Ends   []int  `json:"ends"` // offset in the text of the end of each token
+	Finish string `json:"finish,omitempty"`
+}
+
+// token returns the text of the token at index i.
+func (p *progress) token(i int) string {
+	begin := 0
+	if i > 0 {
+		begin = p.Ends[i-1]
+	}
+	return p.Text[begin:p.Ends[i]]
+}
+
+func (l *Lots) readProgress(ctx context.Context, name string) (progress, error) {
+	var p progress
+	if name == "" {
+		return p, nil
+	}
+	data, err := l.objects.Get(ctx, name)
+	if err != nil {
+		return p, err
+	}
+	return p, errors.Wrap(json.Unmarshal(data, &p), "decode progress")
+}
--- a/internal/serve/recorder.go
+++ b/internal/serve/recorder.go
@@ -205,7 +205,7 @@
 	c.Trace.Add(trace.Step{At: time.Now(), Name: "record-" + string(rec.State), Peer: rec.Daemon, Detail: rec.Reason})
 	switch d.Verdict {
 	case ledger.Replay:
-		reply, err := r.reply(ctx, rec.Reply)
+		reply, err := readReply(ctx, r.objects, rec.Reply)
 		if err != nil {
 			return nil, call.Lost(stepLedger, "objects", fasthttp.StatusServiceUnavailable, err)
 		}
@@ -218,13 +218,3 @@
 		return nil, call.Lost(stepLedger, rec.Daemon, fasthttp.StatusConflict, err)
 	}
 }
-
-func (r *Recorder) reply(ctx context.Context, rec *ledger.Reply) (*call.Reply, error) {
-	reply := &call.Reply{Status: rec.Status, ContentType: rec.ContentType, Body: rec.Body}
-	if rec.Object == "" {
-		return reply, nil
-	}
-	body, err := r.objects.Get(ctx, rec.Object)
-	reply.Body = body
-	return reply, err
-}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -37,12 +37,34 @@
 	admitter   Admitter
 	dispatcher Dispatcher
 	recorder   *Recorder
+	lots       *Lots
 }
 
 // New returns a backend of the given parts. Without a recorder, calls that may
-// not be repeated are refused.
-func New(admitter Admitter, dispatcher Dispatcher, recorder *Recorder) *Backend {
-	return &Backend{admitter: admitter, dispatcher: dispatcher, recorder: recorder}
+// not be repeated are refused; without lots, Accept, Status and Follow may not
+// be called.
+func New(admitter Admitter, dispatcher Dispatcher, recorder *Recorder, lots *Lots) *Backend {
+	return &Backend{admitter: admitter, dispatcher: dispatcher, recorder: recorder, lots: lots}
+}
+
+// Accept implements entry.Backend.
+func (b *Backend) Accept(ctx context.Context, c *call.Call) (string, error) {
+	t, err := b.admitter.Admit(ctx, c)
+	if err != nil {
+		return "", err
+	}
+	defer t.Done(0)
+	return b.lots.Accept(ctx, c)
+}
+
+// Status implements entry.Backend.
+func (b *Backend) Status(ctx context.Context, customer, id string) (*Status, error) {
+	return b.lots.Status(ctx, customer, id)
+}
+
+// Follow implements entry.Backend.
+func (b *Backend) Follow(ctx context.Context, customer, id string, from int, sink call.Sink) error {
+	return b.lots.Follow(ctx, customer, id, from, sink)
 }
 
 // Stream implements entry.Backend.
