Bench of routing policies; estimate of the queue that does not overreact

Ruled out: own work times the number of daemons as the estimate of all work (a small daemon takes one request of its own for four); drain at the declared speed (decoding shares the steps of the engine, so the speed is a third); a queue of up to the whole target before a request is refused (half of the requests that waited were late).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= andrade
 LDFLAGS = -X github.com/lagoonmux/lagoonmux/internal/version.Version=$(VERSION)
 
-.PHONY: build test lint figures unit generate demo capacity
+.PHONY: build test lint figures unit generate demo capacity bench-routing
 
 build: ## programs into bin/
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -26,3 +26,6 @@
 
 capacity: build ## slopes of processor time, memory and bytes, for docs/CAPACITY.md
 	scripts/capacity.sh
+
+bench-routing: build ## routing policies side by side; QUICK=1 for under 3 minutes
+	@scripts/bench-routing.sh
--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -31,6 +31,7 @@
 		benchUpstreamCommand(app),
 		benchEntryCommand(app),
 		benchDecisionsCommand(app),
+		benchRoutingCommand(app),
 	}
 	selected := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/internal/bench/fleet.go
@@ -0,0 +1,259 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonmux/lagoonmux/internal/daemon"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+	"github.com/lagoonmux/lagoonmux/internal/settings"
+	"github.com/lagoonmux/lagoonmux/internal/standin/engine"
+	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
+)
+
+const (
+	zones         = 3
+	slots         = 6
+	prefillPerMS  = 8
+	decode        = 12 * time.Millisecond
+	batchGrowth   = 0.3
+	chunkTokens   = 64
+	cacheTokens   = 5000
+	slowOneFactor = 0.1
+	reclaimNotice = 5 * time.Second
+	runnerPrice   = 1.0 // an hour
+	serviceName   = "text"
+	firstTokenMS  = 420
+	betweenMS     = 29
+	patienceMS    = 8000
+	unlimited     = 1e6
+)
+
+var daemonCores = []int{1, 2, 1}
+
+// speedFactors are the true speeds of the runners, in turn, in the scenario
+// with differences that the manifest does not tell.
+var speedFactors = []float64{0.5, 1, 1, 2}
+
+// fleet is one set of engines and daemons.
+type fleet struct {
+	engines  []*engine.Engine
+	sets     []*faults.Set
+	daemons  []*daemon.Daemon
+	callers  []string // addresses of the daemons
+	manifest *manifest.Manifest
+	cancel   context.CancelFunc
+	group    errgroup.Group
+}
+
+// cells numbers the fleets of this process, by which their addresses differ.
+var cells atomic.Int64
+
+// bus is the gossip of daemons in one process.
+type bus struct {
+	mu   sync.Mutex
+	subs []func(from string, value []byte)
+}
+
+// Publish implements limits.Gossip.
+func (b *bus) Publish(_ string, value []byte) {
+	b.mu.Lock()
+	subs := b.subs
+	b.mu.Unlock()
+	for _, f := range subs {
+		f("", value)
+	}
+}
+
+// Subscribe implements limits.Gossip.
+func (b *bus) Subscribe(_ string, f func(from string, value []byte)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.subs = append(b.subs, f)
+}
+
+// startFleet runs runners engines and the daemons with the given policy.
+func startFleet(m *Mix, s *Scenario, p Variant, runners int, rate float64) (*fleet, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{cancel: cancel, manifest: newManifest(m, s, p, rate)}
+	cell := int(cells.Add(1) % 250)
+	seen := engine.NewSeen()
+	for i := range runners {
+		if err := f.startEngine(ctx, s, cell, i, seen); err != nil {
+			f.stop()
+			return nil, err
+		}
+	}
+	if err := f.startDaemons(ctx, cell, p); err != nil {
+		f.stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) startEngine(ctx context.Context, s *Scenario, cell, i int, seen *engine.Seen) error {
+	set := faults.New()
+	l, err := set.Listener(fmt.Sprintf("127.12.%d.1:0", cell))
+	if err != nil {
+		return err
+	}
+	factor := 1.0
+	if s.Speeds {
+		factor = speedFactors[i%len(speedFactors)]
+	}
+	if s.SlowOne && i == 0 {
+		factor = slowOneFactor
+	}
+	name := fmt.Sprintf("engine-%d", i)
+	cfg := engine.Config{
+		Name: name, Slots: slots, PrefillPerMS: prefillPerMS * factor,
+		Decode: decodeOf(factor), BatchGrowth: batchGrowth, ChunkTokens: max(int(chunkTokens*factor), 8),
+		CacheTokens: cacheTokens, LoadLag: s.LoadLag, EventLag: s.LoadLag, Seen: seen,
+	}
+	if s.LostPart > 0 {
+		plan := faults.Plan{Seed: uint64(i), Faults: []faults.Fault{{Name: faults.Gap, Share: s.LostPart}}}
+		if err := set.Apply(plan); err != nil {
+			return errors.Wrap(err, "set faults")
+		}
+	}
+	e := engine.New(cfg, set)
+	go e.Run(ctx)
+	f.group.Go(func() error { return set.ServeListener(ctx, l, e.Handle) })
+	f.engines = append(f.engines, e)
+	f.sets = append(f.sets, set)
+	f.manifest.Upstreams = append(f.manifest.Upstreams, manifest.Upstream{
+		Name: name, Service: serviceName, Address: l.Addr().String(), Zone: zoneName(i % zones), VMClass: "g",
+		Reclaimable: true, Slots: slots, CacheTokens: cacheTokens, PrefillPerMS: prefillPerMS,
+	})
+	return nil
+}
+
+// decodeOf returns the step of an engine whose speed differs by factor. Only a
+// sick engine decodes more slowly.
+func decodeOf(factor float64) time.Duration {
+	if factor <= slowOneFactor {
+		return time.Duration(float64(decode) / factor)
+	}
+	return decode
+}
+
+func zoneName(i int) string { return string(rune('a' + i)) }
+
+func newManifest(m *Mix, s *Scenario, p Variant, rate float64) *manifest.Manifest {
+	out := &manifest.Manifest{
+		Services: []manifest.Service{{
+			Name: serviceName, Kind: manifest.Model, Policy: p.Policy,
+			Target: manifest.Target{FirstTokenMS: firstTokenMS, BetweenTokensMS: betweenMS, TotalMS: patienceMS},
+		}},
+		VMClasses: []manifest.VMClass{{Name: "g", OnDemandPerHour: 3, ReclaimPerHour: runnerPrice, ReclaimsPerDay: 2}},
+	}
+	for i, name := range m.Customers {
+		c := manifest.Customer{Name: name, Key: "key-of-" + name, Weight: 1, Requests: unlimited, Tokens: unlimited, Concurrency: unlimited}
+		if s.Limits {
+			c.Requests = max(rate*m.share(i)*2, 1)
+			c.Concurrency = max(int(rate*m.share(i)*2), 4)
+		}
+		out.Customers = append(out.Customers, c)
+	}
+	return out
+}
+
+// share returns the part of the requests that a customer sends.
+func (m *Mix) share(customer int) float64 {
+	sum := 0.0
+	for _, k := range m.Kinds {
+		if k.Customer == customer {
+			sum += k.Share
+		}
+	}
+	return sum
+}
+
+func (f *fleet) startDaemons(ctx context.Context, cell int, p Variant) error {
+	text, err := json.Marshal(f.manifest)
+	if err != nil {
+		return errors.Wrap(err, "encode manifest")
+	}
+	b := &bus{}
+	for i, cores := range daemonCores {
+		ip := fmt.Sprintf("127.12.%d.%d", cell, 10+i)
+		s := &settings.Settings{
+			Name: fmt.Sprintf("entry-%d", i), Region: "r", Zone: zoneName(i % zones), VMClass: "g", Cores: cores,
+			Caller: ip + ":7000", Operator: ip + ":7001", Peer: ip + ":7002",
+		}
+		d := daemon.New(s, hclog.NewNullLogger())
+		d.SetRoutingTerms(p.Terms)
+		d.ShareLimits(b)
+		f.group.Go(func() error { return d.Run(ctx) })
+		if _, err := d.Apply(ctx, "bench", text); err != nil {
+			return err
+		}
+		f.daemons = append(f.daemons, d)
+		f.callers = append(f.callers, s.Caller)
+	}
+	return waitListening(f.callers)
+}
+
+// waitListening returns when all addresses accept connections.
+func waitListening(addresses []string) error {
+	end := time.Now().Add(startTimeout)
+	for _, a := range addresses {
+		for {
+			c, err := net.DialTimeout("tcp", a, time.Second)
+			if err == nil {
+				_ = c.Close()
+				break
+			}
+			if time.Now().After(end) {
+				return errors.Wrapf(err, "daemon at %s", a)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+const startTimeout = 5 * time.Second
+
+// reclaimZone gives notice to every engine of the first zone.
+func (f *fleet) reclaimZone() {
+	for i, set := range f.sets {
+		if i%zones == 0 {
+			set.Leave(reclaimNotice, false)
+		}
+	}
+}
+
+// stop ends all and waits for it.
+func (f *fleet) stop() {
+	f.cancel()
+	_ = f.group.Wait()
+}
+
+// totals adds up the counters of the engines and routers.
+func (f *fleet) totals() (recomputed, prefilled int64, routed routing.Stats) {
+	for _, e := range f.engines {
+		s := e.Stats()
+		recomputed += s.RecomputedTokens
+		prefilled += s.PrefilledTokens
+	}
+	for _, d := range f.daemons {
+		s := d.RoutingStats()
+		routed.Picks += s.Picks
+		routed.Failed += s.Failed
+		routed.PromptTokens += s.PromptTokens
+		routed.BelievedCached += s.BelievedCached
+		routed.Cached += s.Cached
+	}
+	return recomputed, prefilled, routed
+}
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -242,3 +242,7 @@
 // RoutingStats returns the counters of the router. It may be called from any
 // goroutine.
 func (d *Daemon) RoutingStats() routing.Stats { return d.router.Stats() }
+
+// SetRoutingTerms restricts the score of the policy expected to the given
+// terms, for measurements. It must be called before Run and Apply.
+func (d *Daemon) SetRoutingTerms(terms routing.Terms) { d.router.SetTerms(terms) }
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -10,6 +10,7 @@
 const (
 	retryMin     = 100 * time.Millisecond
 	retryMax     = time.Minute
+	startPart    = 2                     // of the first-token target, one part may pass in the queue
 	pollInterval = 20 * time.Millisecond // between looks at a queue that waits for a customer's limits
 	retryNoUnits = time.Second           // when other daemons hold the customer's whole concurrency
 )
@@ -154,12 +155,12 @@
 
 // latestStart returns when starting the item becomes useless: when it can no
 // longer end by its deadline, or, for a service with a target of the first
-// token and unless it is a lot, when the wait alone is past the target.
+// token and unless it is a lot, when too little of the target is left.
 func (l *Limiter) latestStart(now, patience time.Duration, it *Item) time.Duration {
 	s := it.service
 	latest := now + patience - min(s.duration(it), patience/2)
 	if s.target > 0 && it.Class != manifest.Lot {
-		latest = min(latest, now+s.target)
+		latest = min(latest, now+s.target/startPart)
 	}
 	return latest
 }
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -54,12 +54,19 @@
 
 func (a *Attempt) compute() int64 { return int64(a.prompt - a.cached) }
 
+// computed takes the prompt out of the pending tokens.
+func (a *Attempt) computed() {
+	a.shared.pending.Add(-a.compute())
+	a.runner.pending.Add(-a.compute())
+}
+
 func (a *Attempt) count(t int64) {
 	x := a.runner
 	a.shared.inFlight.Add(1)
-	own := x.inFlight.Add(1)
+	a.shared.pending.Add(a.compute())
+	x.inFlight.Add(1)
 	x.pending.Add(a.compute())
-	x.history.note(t, x.sent.Add(a.compute()), own)
+	x.note(t)
 	a.router.stats.picks.Add(1)
 	a.router.stats.prompt.Add(int64(a.prompt))
 	a.router.stats.believed.Add(int64(a.cached))
@@ -74,7 +81,8 @@
 	a.started = true
 	x := a.runner
 	t := a.router.clock.of(now)
-	x.pending.Add(-a.compute())
+	a.computed()
+	x.note(t)
 	expected := a.expected
 	if cached >= 0 {
 		a.router.stats.cached.Add(int64(cached))
@@ -101,10 +109,11 @@
 	x := a.runner
 	t := a.router.clock.of(now)
 	if !a.started {
-		x.pending.Add(-a.compute())
+		a.computed()
 	}
 	a.shared.inFlight.Add(-1)
 	x.inFlight.Add(-1)
+	x.note(t)
 	took := milliseconds(t - a.began)
 	if !a.started && a.prompt == 0 && result == Succeeded {
 		x.observeStart(t, took, a.expected)
--- a/internal/routing/baselines.go
+++ b/internal/routing/baselines.go
@@ -3,7 +3,7 @@
 import "slices"
 
 // prefixHashBlocks is the number of leading blocks that must be equal.
-const prefixHashBlocks = 4
+const prefixHashBlocks = 16
 
 // choice is the outcome of a pick.
 type choice struct {
--- a/internal/routing/capacity.go
+++ b/internal/routing/capacity.go
@@ -36,7 +36,7 @@
 	sum, unused := 0.0, 0.0
 	for i := range s.nodes {
 		n := &s.nodes[i]
-		tokens, requests := n.corrected(now, float64(n.pending.Load()), float64(n.inFlight.Load()), s.peers)
+		tokens, requests := s.estimate(n, now, true)
 		room := n.slots * (1 - n.failuresAt(now))
 		if tokens*n.slownessAt(now)/n.speed > longest {
 			room = min(room, requests)
--- a/internal/routing/expected.go
+++ b/internal/routing/expected.go
@@ -7,19 +7,21 @@
 )
 
 const (
-	blockTokens     = 16
-	maxCandidates   = 24
-	samples         = 3 // candidates taken at random
-	boundedLoad     = 1.25
-	failureCostMS   = 500.0
-	maxFailures     = 0.95
-	coldShare       = 1.0  // part of the expected time added for each attempt in flight at an upstream without evidence
-	urgentQueue     = 0.25 // part of the queue that is ahead of an urgent request
-	overrunCost     = 4.0  // for a millisecond past the deadline or target
-	lotPriceShare   = 0.5  // of the computing time, for a price twice the cheapest
-	priceShare      = 0.1
-	recomputeWeight = 1.5 // a recomputed token delays other requests too
-	maxDearness     = 4.0
+	blockTokens   = 16
+	firstDepth    = 4 // blocks of the shortest prefix whose rendezvous are candidates; each next is four times as deep
+	maxCandidates = 24
+	samples       = 3 // candidates taken at random
+	boundedLoad   = 1.25
+	failureCostMS = 500.0
+	maxFailures   = 0.95
+	coldShare     = 1.0  // part of the expected time added for each attempt in flight at an upstream without evidence
+	urgentQueue   = 0.25 // part of the queue that is ahead of an urgent request
+	overrunCost   = 4.0  // for a millisecond past the deadline or target
+	lotPriceShare = 0.5  // of the computing time, for a price twice the cheapest
+	priceShare    = 0.1
+	othersDelay   = 1.0 // weight of the delay that computing a prompt brings to each other request there
+	maxDearness   = 4.0
+	slotWait      = 0.3 // of the time between two requests that end, for each request beyond the slots
 )
 
 // Terms selects terms of the score of the policy expected. Benches switch
@@ -39,6 +41,7 @@
 	TermPrice                     // price and reclaim risk
 	TermLate                      // cost of missing deadline or target
 	TermSample                    // candidates taken at random
+	TermOthers                    // delay of the other requests at the upstream
 	AllTerms    = 1<<iota - 1
 )
 
@@ -134,7 +137,7 @@
 
 // addWinners adds the rendezvous of the prefix at a few depths.
 func (p *expected) addWinners(set *candidates, blocks []uint64) {
-	for depth := prefixHashBlocks; ; depth *= 4 {
+	for depth := firstDepth; ; depth *= 4 {
 		depth = min(depth, len(blocks))
 		for _, i := range p.winners(blocks[depth-1]) {
 			set.add(i, 0)
@@ -224,7 +227,10 @@
 	compute := float64(r.PromptTokens-ch.cached) / n.speed
 	queue := p.queueMS(n, now, r.Class)
 	ch.expectedMS = compute + queue
-	total := compute*recomputeWeight + queue
+	total := compute + queue
+	if p.terms&TermOthers != 0 {
+		total += compute * othersDelay * float64(n.inFlight.Load()) * p.peerFactor()
+	}
 	if p.terms&TermSpeed != 0 {
 		total = (total + slownessFloorMS) * n.slownessAt(now)
 	}
@@ -249,40 +255,20 @@
 
 // queueMS estimates the wait before the prompt's first token is computed.
 func (p *expected) queueMS(n *node, now int64, class manifest.Class) float64 {
-	own := float64(n.pending.Load())
-	flight := float64(n.inFlight.Load())
-	tokens, requests := own, flight
+	tokens, requests := float64(n.pending.Load()), float64(n.inFlight.Load())
 	if p.terms&TermQueue != 0 {
-		tokens, requests = n.corrected(now, own, flight, p.peerFactor())
+		tokens, requests = p.estimate(n, now, p.terms&TermPeers != 0)
 	}
 	if class == manifest.Urgent {
 		tokens *= urgentQueue
 	}
 	wait := tokens / n.speed
 	if over := requests + 1 - n.slots; over > 0 {
-		wait += over * n.serviceMS.load() / n.slots
+		wait += slotWait * over * n.serviceMS.load() / n.slots
 	}
 	return wait
 }
 
-// corrected returns the tokens waiting and the requests at the upstream: its
-// report, plus what was sent since it was measured, minus what it can have
-// computed since. Peers are taken to send like this daemon, so that a report
-// that all of them hold draws no herd.
-func (n *node) corrected(now int64, own, flight, peers float64) (tokens, requests float64) {
-	l := n.load.Load()
-	if l == nil || now-l.at > int64(maxLoadAge) {
-		return own * peers, flight * peers
-	}
-	ageMS := float64(max(now-l.at, 0)) / float64(time.Millisecond)
-	since := float64(n.sent.Load()-l.sentThen) * peers
-	done := ageMS * n.speed / n.slownessAt(now)
-	tokens = max(float64(l.WaitingTokens)+since-done, own)
-	change := (flight - float64(l.ownThen)) * peers
-	requests = max(float64(l.Running+l.Waiting)+change, flight)
-	return tokens, requests
-}
-
 // peerFactor returns the requests of all daemons for each of this daemon's.
 func (p *expected) peerFactor() float64 {
 	if p.terms&TermPeers == 0 {
@@ -324,3 +310,19 @@
 	lost := float64(r.PromptTokens+r.MaxTokens) / n.speed
 	return price + n.risk*n.serviceMS.load()*lost
 }
+
+// NamedTerm is a term and its name.
+type NamedTerm struct {
+	Name string
+	Term Terms
+}
+
+// TermNames returns every term with its name.
+func TermNames() []NamedTerm {
+	return []NamedTerm{
+		{"cache", TermCache}, {"queue", TermQueue}, {"peers", TermPeers}, {"speed", TermSpeed},
+		{"failure", TermFailure}, {"cold", TermCold}, {"kv", TermKV}, {"bound", TermBound},
+		{"price", TermPrice}, {"late", TermLate}, {"sample", TermSample},
+		{"others", TermOthers},
+	}
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -29,6 +29,7 @@
 type serviceState struct {
 	turn     atomic.Uint64 // of round-robin
 	inFlight atomic.Int64  // attempts of this daemon
+	pending  atomic.Int64  // its prompt tokens that have no first token yet
 	total    atomicFloat   // slots of the newest snapshot
 	clock    *clock
 }
@@ -61,16 +62,16 @@
 }
 
 // NewRouter returns a router that knows no upstream.
-func NewRouter() *Router { return NewRouterWith(AllTerms) }
-
-// NewRouterWith returns a router whose policy expected uses only the given
-// terms.
-func NewRouterWith(terms Terms) *Router {
-	r := &Router{prefixes: newPrefixMap(), terms: terms, peers: 1}
+func NewRouter() *Router {
+	r := &Router{prefixes: newPrefixMap(), terms: AllTerms, peers: 1}
 	r.view.Store(&view{})
 	return r
 }
 
+// SetTerms restricts the score of the policy expected to the given terms. It
+// must be called before Update.
+func (r *Router) SetTerms(terms Terms) { r.terms = terms }
+
 // Update rebuilds the pickers for a manifest and the members known of it.
 func (r *Router) Update(a *manifest.Active, members []Member) {
 	r.mu.Lock()
@@ -203,7 +204,7 @@
 	if old != nil && old.Epoch == report.Epoch && old.at > l.at {
 		return
 	}
-	l.sentThen, l.ownThen = x.history.at(l.at, t, x.sent.Load(), x.inFlight.Load())
+	l.pendingThen, l.ownThen = x.history.at(l.at)
 	x.load.Store(l)
 }
 
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -17,7 +17,8 @@
 
 func newTestRouter(n int, terms Terms) (*Router, *manifest.Active) {
 	a := testActive(n, manifest.Expected)
-	r := NewRouterWith(terms)
+	r := NewRouter()
+	r.SetTerms(terms)
 	r.Update(a, allMembers(a))
 	return r, a
 }
@@ -80,7 +81,7 @@
 
 func TestStaleLoadDrawsNoHerd(t *testing.T) {
 	const fair = (3*4000 + 6*10*200) / 4 / 200 // after which all upstreams have as many tokens waiting
-	with, without := herd(t, AllTerms&^TermCold), herd(t, AllTerms&^TermCold&^TermPeers)
+	with, without := herd(t, TermQueue|TermPeers|TermSample), herd(t, TermQueue|TermSample)
 	t.Logf("requests at the upstream reported idle: %d, without the correction: %d, fair: %d", with, without, fair)
 	assert.Assert(t, with <= fair*4/3 && without > fair*4/3, "got %d, without the correction %d", with, without)
 }
--- a/internal/routing/runner.go
+++ b/internal/routing/runner.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	evidenceWeight  = 0.2  // of one observation in a moving average
+	evidenceWeight  = 0.1  // of one observation in a moving average
 	trustWeight     = 0.05 // of one observation of the cache estimate
 	maxSlowness     = 64.0
 	minSlowness     = 1.0 / 16
@@ -39,12 +39,12 @@
 	}
 }
 
-// load is a report with what this daemon had sent when it was measured.
+// load is a report with what was this daemon's own when it was measured.
 type load struct {
 	LoadReport
-	at       int64 // nanoseconds on the router's clock
-	sentThen int64
-	ownThen  int64
+	at          int64 // nanoseconds on the router's clock
+	pendingThen int64
+	ownThen     int64
 }
 
 // runner is what this daemon has learnt of one upstream. It outlives
@@ -55,7 +55,6 @@
 	epoch      atomic.Int64  // last reported; 0 before the first report
 	inFlight   atomic.Int64  // attempts of this daemon
 	pending    atomic.Int64  // prompt tokens sent that have no first token yet
-	sent       atomic.Int64  // prompt tokens to compute, ever sent
 	leaving    atomic.Bool   // by its own report
 	proven     atomic.Int64  // first tokens since the last restart
 	load       atomic.Pointer[load]
@@ -113,6 +112,11 @@
 	return now-newest > interval && r.probedAt.CompareAndSwap(last, now)
 }
 
+// note records the work in the history.
+func (r *runner) note(now int64) {
+	r.history.note(now, r.pending.Load(), r.inFlight.Load())
+}
+
 // observeStart takes in the time to the first token against the expectation.
 func (r *runner) observeStart(now int64, observedMS, expectedMS float64) {
 	ratio := (observedMS + slownessFloorMS) / (expectedMS + slownessFloorMS)
@@ -155,42 +159,35 @@
 }
 
 const (
-	historySlots = 32
-	historyStep  = 250 * time.Millisecond
+	historySlots = 128
+	historyStep  = 50 * time.Millisecond
 )
 
-// history remembers for some seconds how much had been sent at which time.
+// history remembers for some seconds how much of this daemon's work an upstream
+// had at which time.
 type history struct {
-	ticks [historySlots]atomic.Int64
-	sent  [historySlots]atomic.Int64
-	own   [historySlots]atomic.Int64
+	ticks   [historySlots]atomic.Int64
+	pending [historySlots]atomic.Int64
+	own     [historySlots]atomic.Int64
 }
 
-// note records the totals after a dispatch at now.
-func (h *history) note(now, sent, own int64) {
+// note records the work after a change at now.
+func (h *history) note(now, pending, own int64) {
 	tick := now / int64(historyStep)
 	i := tick % historySlots
-	h.sent[i].Store(sent)
+	h.pending[i].Store(pending)
 	h.own[i].Store(own)
 	h.ticks[i].Store(tick)
 }
 
-// at returns the totals at a past time, or the given present ones where
-// nothing was dispatched since.
-func (h *history) at(past, now, sent, own int64) (int64, int64) {
+// at returns the work at a past time: as it was after the last change before.
+func (h *history) at(past int64) (pending, own int64) {
 	first := max(past, 0) / int64(historyStep)
-	last := now / int64(historyStep)
-	for tick := first; tick >= max(0, last-historySlots+1); tick-- {
-		i := tick % historySlots
-		if h.ticks[i].Load() == tick {
-			return h.sent[i].Load(), h.own[i].Load()
-		}
-	}
-	for tick := first + 1; tick <= last; tick++ {
+	for tick := first; tick >= max(0, first-historySlots+1); tick-- {
 		i := tick % historySlots
 		if h.ticks[i].Load() == tick {
-			return min(sent, h.sent[i].Load()), min(own, h.own[i].Load())
+			return h.pending[i].Load(), h.own[i].Load()
 		}
 	}
-	return sent, own
+	return 0, 0
 }
