Daemon: cache events of small fleets; load reports come from the shared watch

The load of upstreams arrives by the watch that daemons share, so the own polls of /load are gone. Cache events are polled up to 64 upstreams only: at 2,500 the polls would cost more than the 11 KB/s that control may take; there the cached tokens of the answers correct the estimate.

--- /dev/null
+++ b/internal/daemon/cacheevents.go
@@ -0,0 +1,133 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
+	"github.com/lagoonmux/lagoonmux/internal/upstream"
+)
+
+const (
+	eventsInterval    = 500 * time.Millisecond // between two polls of an upstream
+	eventsTimeout     = time.Second
+	eventPollsAtOnce  = 16
+	maxEventsBytes    = 1 << 20
+	maxEventUpstreams = 64 // beyond which the polls would cost more bytes than they are worth
+	pathCacheEvents   = "/cache/events?after="
+	cacheEventEvict   = "evict"
+	hexadecimal       = 16
+)
+
+// cacheWatch is the task that asks the model engines of a small fleet for the
+// changes of their prefix caches and passes them to the router. In a larger
+// fleet the router learns from the cached tokens of the answers alone.
+type cacheWatch struct {
+	pool   *upstream.Pool
+	router *routing.Router
+	log    hclog.Logger
+
+	mu   sync.Mutex
+	next map[string]int64 // sequence number of the last event, by upstream
+}
+
+// cacheEvents is the answer of an upstream to a poll.
+type cacheEvents struct {
+	Epoch  int64 `json:"epoch"`
+	Next   int64 `json:"next"`
+	Events []struct {
+		Op    string `json:"op"`
+		Block string `json:"block"`
+	} `json:"events"`
+}
+
+func newCacheWatch(pool *upstream.Pool, router *routing.Router, log hclog.Logger) *cacheWatch {
+	return &cacheWatch{pool: pool, router: router, log: log, next: make(map[string]int64)}
+}
+
+// run polls the engines of the manifest in force until ctx ends.
+func (w *cacheWatch) run(ctx context.Context, manifests *manifest.Current) error {
+	ticker := time.NewTicker(eventsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if a := manifests.Load(); a != nil && len(a.Upstreams) <= maxEventUpstreams {
+			w.pollAll(ctx, a)
+		}
+	}
+}
+
+func (w *cacheWatch) pollAll(ctx context.Context, a *manifest.Active) {
+	var g errgroup.Group
+	g.SetLimit(eventPollsAtOnce)
+	for i := range a.Upstreams {
+		u := &a.Upstreams[i]
+		if a.Service(u.Service).Kind != manifest.Model {
+			continue
+		}
+		g.Go(func() error {
+			if err := w.poll(ctx, u); err != nil {
+				w.log.Debug("poll of cache events failed", "upstream", u.Name, "error", err)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+func (w *cacheWatch) poll(ctx context.Context, u *manifest.Upstream) error {
+	ctx, cancel := context.WithTimeout(ctx, eventsTimeout)
+	defer cancel()
+	w.mu.Lock()
+	after := w.next[u.Name]
+	w.mu.Unlock()
+	events, err := w.get(ctx, u, pathCacheEvents+strconv.FormatInt(after, 10))
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.next[u.Name] = events.Next
+	w.mu.Unlock()
+	changes := routing.CacheEvents{Upstream: u.Name, Epoch: events.Epoch}
+	for _, e := range events.Events {
+		block, err := strconv.ParseUint(e.Block, hexadecimal, 64)
+		if err != nil {
+			return errors.Wrap(err, "block of cache event")
+		}
+		changes.Changes = append(changes.Changes, routing.CacheChange{Block: block, Evicted: e.Op == cacheEventEvict})
+	}
+	w.router.ObserveCache(changes)
+	return nil
+}
+
+func (w *cacheWatch) get(ctx context.Context, u *manifest.Upstream, path string) (*cacheEvents, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + u.Address + path)
+	x, err := w.pool.Start(ctx, u.Address, req, false)
+	if err != nil {
+		return nil, err
+	}
+	body, err := x.ReadAll(maxEventsBytes)
+	if err != nil {
+		return nil, err
+	}
+	if code := x.Response.StatusCode(); code != fasthttp.StatusOK {
+		return nil, errors.Errorf("upstream %s: status %d", u.Name, code)
+	}
+	events := &cacheEvents{}
+	return events, errors.Wrapf(json.Unmarshal(body, events), "upstream %s: decode", u.Name)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,7 +40,7 @@
 	router    *routing.Router
 	pool      *upstream.Pool
 	admission *admission
-	loads     *loads
+	cache     *cacheWatch
 	entry     *entry.Server
 	operator  *operator.Server
 	registry  *obs.Registry
@@ -103,7 +103,7 @@
 	d.newKeeper()
 	d.newWatch()
 	d.admission = newAdmission(s, d.router, log.Named("admission"))
-	d.loads = newLoads(d.pool, d.router, log.Named("loads"))
+	d.cache = newCacheWatch(d.pool, d.router, log.Named("cache"))
 	d.ShareLimits(d.members)
 	backend := d.newBackend(dispatch.New(d.pool, d.router))
 	d.registry = obs.NewRegistry(log, time.Now())
@@ -129,7 +129,7 @@
 	g.Go(func() error { return d.runMembers(controlCtx) })
 	g.Go(func() error { return d.keeper.Run(controlCtx) })
 	g.Go(func() error { return d.admission.run(controlCtx) })
-	g.Go(func() error { return d.loads.run(controlCtx, &d.manifests) })
+	g.Go(func() error { return d.cache.run(controlCtx, &d.manifests) })
 	g.Go(func() error { return d.entry.Run(d.settings.Caller) })
 	g.Go(func() error { return d.operator.Run(d.settings.Operator) })
 	g.Go(func() error {
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -18,6 +18,8 @@
 const (
 	loadDialTimeout = 400 * time.Millisecond
 	reportTimeout   = 400 * time.Millisecond
+	maxLoadBytes    = 1 << 16
+	pathLoad        = "/load"
 )
 
 // Leaving tells work at upstreams that they leave. It is for the dispatch of
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -197,7 +197,9 @@
 	}
 	t := r.clock.of(now)
 	x.observeEpoch(report.Epoch)
-	x.leaving.Store(report.Leaving)
+	if report.Leaving {
+		x.leaving.Store(true)
+	}
 	l := &load{LoadReport: report, at: r.clock.of(report.At)}
 	l.at = min(max(l.at, t-int64(maxLoadAge)), t)
 	old := x.load.Load()
--- a/internal/routing/runner.go
+++ b/internal/routing/runner.go
@@ -79,6 +79,7 @@
 func (r *runner) restarted() {
 	r.generation.Add(1)
 	r.proven.Store(0)
+	r.leaving.Store(false)
 	r.trust.store(1)
 }
 
