Limits: grants are extended while wanted; a daemon that is silent keeps its part

Cause: three daemons of sizes 1, 2 and 5 under a customer at twenty times its limit of 100 a second started 790 in ten seconds, though the two larger had parts to spare. Grants ran out before they were given anew, and an item whose time was up blocked its customer's queue until the next tick.

Membership's dead daemons keep their part while they are remembered: silence is also what a partition looks like, and the other side may use it.

--- a/cmd/lagoonmux/main.go
+++ b/cmd/lagoonmux/main.go
@@ -45,6 +45,8 @@
 	defer stop()
 	d := daemon.New(s, log)
 	expvar.Publish("lagoonmux", expvar.Func(func() any { return d.Report() }))
+	expvar.Publish("lagoonmux.routing", expvar.Func(func() any { return d.RoutingStats() }))
+	expvar.Publish("lagoonmux.limits", expvar.Func(func() any { return d.LimitStats() }))
 	if err := d.Run(ctx); err != nil {
 		log.Error("daemon failed", "error", err)
 		os.Exit(exitFailure)
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -83,6 +83,14 @@
 	}
 }
 
+// post sends without blocking; a full mailbox loses the message.
+func (a *admission) post(m admissionMessage) {
+	select {
+	case a.inbox <- m:
+	default:
+	}
+}
+
 // run owns the limiter until ctx ends.
 func (a *admission) run(ctx context.Context) error {
 	defer close(a.stopped)
@@ -227,13 +235,12 @@
 // reaches. It must be called before Run.
 func (d *Daemon) ShareLimits(gossip limits.Gossip) {
 	d.admission.gossip = gossip
-	gossip.Subscribe(limits.Topic, func(_ string, value []byte) { d.admission.send(demandReport{value}) })
+	gossip.Subscribe(limits.Topic, func(_ string, value []byte) { d.admission.post(demandReport{value}) })
 }
 
 // SetLimitMembers names all daemons that share the limits, this one included,
-// as membership knows them. Daemons that are named nowhere are learnt from
-// their reports. It may be called from any goroutine.
-func (d *Daemon) SetLimitMembers(members []limits.Member) { d.admission.send(newMembers{members}) }
+// as membership knows them. It does not block.
+func (d *Daemon) SetLimitMembers(members []limits.Member) { d.admission.post(newMembers{members}) }
 
 // LimitStats returns the decisions of admission by customer and class. It may
 // be called from any goroutine while the daemon runs.
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -56,11 +56,13 @@
 	return nil
 }
 
-// sharers lists the daemons that share the customers' limits.
+// sharers lists the daemons that share the customers' limits. A silent daemon
+// keeps its part as long as it is remembered, since it may be on the other side
+// of a partition and use it.
 func sharers(v *members.View) []limits.Member {
 	var out []limits.Member
 	for _, r := range v.Daemons {
-		if r.State < members.Dead {
+		if r.State != members.Left {
 			out = append(out, limits.Member{Name: r.Name})
 		}
 	}
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -142,6 +142,7 @@
 		l.refuse(it, NoCapacity, retryNoUnits)
 		return
 	}
+	l.runService(now, it.service)
 	it.cost = float64(it.Tokens + costPerRequest)
 	it.customer.offer(now, it)
 	it.latest = l.latestStart(now, it.Deadline.Sub(at), it)
--- a/internal/limits/shares.go
+++ b/internal/limits/shares.go
@@ -48,7 +48,8 @@
 type peer struct {
 	cores int
 	seen  time.Duration
-	heard bool
+	heard bool // a report has arrived
+	named bool // by membership
 	seq   uint64
 	needs map[string]float64
 }
@@ -88,6 +89,7 @@
 		if p == nil {
 			p = &peer{seen: now}
 		}
+		p.named = true
 		if m.Cores > 0 {
 			p.cores = m.Cores
 		}
@@ -161,6 +163,7 @@
 	for customer, need := range needs {
 		d.Needs = append(d.Needs, &limitspb.Need{Customer: customer, Fraction: float32(need)})
 	}
+	s.extend(now, needs)
 	for _, customer := range s.wanted(now) {
 		s.passOn(now, customer, needs[customer])
 	}
@@ -171,9 +174,30 @@
 	return data, errors.Wrap(err, "encode demand")
 }
 
+// extend lets the grants that are still wanted hold for longer, so that the
+// receiver is not left without them between two grants.
+func (s *shares) extend(now time.Duration, needs map[string]float64) {
+	base := s.base(s.self.Cores)
+	for i := range s.out {
+		g := &s.out[i]
+		p := s.peers[g.peer]
+		if p == nil || !s.fresh(now, p) {
+			continue
+		}
+		spare := base - max(needs[g.customer], minNeed*base)
+		wanted := p.needs[g.customer]*headroom-s.base(p.cores) >= g.fraction
+		if !wanted || granted(s.out, now, g.customer) > spare {
+			continue
+		}
+		g.answers = p.seq
+		g.valid = s.validity()
+		g.until = max(g.until, now+g.valid+time.Millisecond)
+	}
+}
+
 func (s *shares) forgetSilent(now time.Duration) {
 	for name, p := range s.peers {
-		if now-p.seen > forgetPeerAfter {
+		if !p.named && now-p.seen > forgetPeerAfter {
 			delete(s.peers, name)
 		}
 	}
@@ -304,10 +328,12 @@
 	if g.To != s.self.Name || !ok || now >= until || g.Fraction <= 0 {
 		return
 	}
-	taken := slices.ContainsFunc(s.in, func(x grant) bool {
-		return x.peer == d.Daemon && x.id == g.Id && x.customer == g.Customer
-	})
-	if !taken {
-		s.in = append(s.in, grant{customer: g.Customer, peer: d.Daemon, id: g.Id, fraction: float64(g.Fraction), until: until})
+	for i := range s.in {
+		x := &s.in[i]
+		if x.peer == d.Daemon && x.id == g.Id && x.customer == g.Customer {
+			x.until = max(x.until, until)
+			return
+		}
 	}
+	s.in = append(s.in, grant{customer: g.Customer, peer: d.Daemon, id: g.Id, fraction: float64(g.Fraction), until: until})
 }
