--- /dev/null
+++ b/internal/bench/mix_test.go
@@ -0,0 +1,56 @@
+package bench
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+)
+
+func TestRequestsAreTheSameForASeed(t *testing.T) {
+	for i := range Mixes {
+		m := &Mixes[i]
+		s := &Scenario{Name: "s", Flood: 2, Shift: time.Second}
+		a := Requests(m, s, 50, 3*time.Second, 1)
+		b := Requests(m, s, 50, 3*time.Second, 1)
+		assert.DeepEqual(t, a, b)
+		assert.Assert(t, len(a) > 100)
+		assert.Assert(t, Requests(m, s, 50, 3*time.Second, 2)[0].Prompt != a[0].Prompt)
+	}
+}
+
+func TestPromptsSharePrefixes(t *testing.T) {
+	for i := range Mixes {
+		seen := make(map[uint64]bool)
+		shared, all := 0, 0
+		for _, a := range Requests(&Mixes[i], &Scenario{}, 50, 4*time.Second, 1) {
+			for _, b := range completion.Blocks(a.Prompt) {
+				all++
+				if seen[b] {
+					shared++
+				}
+				seen[b] = true
+			}
+		}
+		assert.Assert(t, shared > all/2 && shared < all, "%s: %d of %d", Mixes[i].Name, shared, all)
+	}
+}
+
+func TestRowCountsEveryRequestOnce(t *testing.T) {
+	results := []ended{
+		{customer: 1, at: time.Second, outcome: string(call.Answered), whole: true, first: 100 * time.Millisecond},
+		{customer: 1, at: time.Second, outcome: string(call.Answered), whole: true, first: time.Second},
+		{customer: floodCustomer, at: time.Second, outcome: string(call.NotRun)},
+		{customer: 1, at: time.Second, outcome: string(call.Unknown)},
+		{customer: 1, at: 0, outcome: string(call.NotRun)}, // before the warm-up ends
+	}
+	r := newRow(results, time.Second)
+	assert.Equal(t, r.Requests, 4)
+	assert.Equal(t, r.NotRun, 1)
+	assert.Equal(t, r.Cut, 1)
+	assert.Equal(t, r.OnTime, 0.25)
+	assert.Assert(t, !r.meetsTarget())
+}
