--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -32,6 +32,7 @@
 	Zone  string   `json:"zone,omitempty"`  // of the VMs of a share; empty for all zones
 	Share float64  `json:"share,omitempty"` // of the reclaimable upstreams
 	InMS  int64    `json:"in_ms"`           // from now until they end
+	Tell  bool     `json:"tell,omitempty"`  // the upstreams know too, and refuse new work
 }
 
 // Config describes a cloud.
@@ -40,7 +41,7 @@
 	WeightsPerSec float64       // loads of weights a second that the weight store serves
 	Seed          uint64
 	// OnReclaim is called for each VM that will end, and may be nil.
-	OnReclaim func(vm cloud.VM, in time.Duration)
+	OnReclaim func(vm cloud.VM, in time.Duration, tell bool)
 	// OnStart is called for each VM that was started, and returns the address
 	// that it listens at.
 	OnStart func(s cloud.Start) string
@@ -204,7 +205,7 @@
 		id := vm.ID
 		time.AfterFunc(in, func() { s.remove(id) })
 		if s.config.OnReclaim != nil {
-			go s.config.OnReclaim(*vm, in)
+			go s.config.OnReclaim(*vm, in, r.Tell)
 		}
 	}
 	s.changed()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -17,7 +17,6 @@
 	"github.com/lagoonmux/lagoonmux/internal/standin/engine"
 	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
 	"github.com/lagoonmux/lagoonmux/internal/standin/objects"
-	"github.com/lagoonmux/lagoonmux/internal/standin/plain"
 	"github.com/lagoonmux/lagoonmux/internal/standin/table"
 )
 
@@ -63,23 +62,14 @@
 // ServeManifest serves the upstreams of m at the speeds of p, and the
 // platform's services, until ctx ends.
 func ServeManifest(ctx context.Context, m *manifest.Manifest, p *Profile, platform Platform) error {
-	active := manifest.NewActive(0, m)
-	seen := make(map[string]*engine.Seen) // by service
 	g, gctx := errgroup.WithContext(ctx)
 	platform.serve(gctx, g)
+	r := &running{ctx: gctx, g: g, active: manifest.NewActive(0, m), profile: p, seen: make(map[string]*engine.Seen), sets: make(map[string]*faults.Set)}
 	for i := range m.Upstreams {
-		u := &m.Upstreams[i]
-		set := faults.New()
-		if active.Service(u.Service).Kind == manifest.Plain {
-			s := plain.New(p.plain(m, u), set)
-			g.Go(func() error { return set.Serve(gctx, u.Address, s.Handle) })
-			continue
-		}
-		if seen[u.Service] == nil {
-			seen[u.Service] = engine.NewSeen()
-		}
-		e := engine.New(p.engine(m, u, seen[u.Service]), set)
-		g.Go(func() error { return e.Serve(gctx, u.Address) })
+		r.start(&m.Upstreams[i])
+	}
+	if platform.Cloud != "" {
+		r.serveCloud(platform.Cloud)
 	}
 	return g.Wait()
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -26,7 +26,7 @@
 
 note "$DEPLOYMENT: stand-ins of 20 runners, 3 desks and the platform"
 start standins "$BIN/lagoonstand" serve --manifest "$MANIFEST" --profile "$DIR/profile.json" \
-	--table "$NET.0.1:7201" --objects "$NET.0.1:7202"
+	--table "$NET.0.1:7201" --objects "$NET.0.1:7202" --cloud "$NET.0.1:7203"
 
 note "three daemons in three availability zones"
 for i in "${DAEMONS[@]}"; do
