--- a/cmd/lagoonmux/main.go
+++ b/cmd/lagoonmux/main.go
@@ -44,6 +44,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	d := daemon.New(s, log)
+	expvar.Publish("control_bytes", expvar.Func(func() any {
+		sent, received := d.Traffic()
+		return sent + received
+	}))
 	expvar.Publish("lagoonmux", expvar.Func(func() any { return d.Report() }))
 	if err := d.Run(ctx); err != nil {
 		log.Error("daemon failed", "error", err)
--- /dev/null
+++ b/cmd/lagoonstand/await.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/operator"
+)
+
+const awaitPoll = 10 * time.Millisecond
+
+// awaitCommand measures how long it takes until all daemons agree on something.
+func awaitCommand(app *kingpin.Application) command {
+	c := app.Command("await", "Print the milliseconds until every daemon's status shows a fact.")
+	daemons := c.Flag("daemon", "Operator address of a daemon; repeat for each.").Short('d').Required().Strings()
+	patience := c.Flag("patience", "Fail after this long.").Default("30s").Duration()
+	fact := c.Arg("fact", "generation=N, members=N, upstream:NAME=STATE or daemon:NAME=STATE.").Required().String()
+	return command{clause: c, run: func(ctx context.Context) error {
+		return await(ctx, *daemons, *fact, *patience)
+	}}
+}
+
+func await(ctx context.Context, daemons []string, fact string, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	began := time.Now()
+	for _, d := range daemons {
+		for !shows(d, fact) {
+			select {
+			case <-ctx.Done():
+				return errors.Errorf("%s does not show %s after %s", d, fact, patience)
+			case <-time.After(awaitPoll):
+			}
+		}
+	}
+	fmt.Println(time.Since(began).Milliseconds())
+	return nil
+}
+
+// shows tells whether the status of the daemon shows the fact.
+func shows(daemon, fact string) bool {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+daemon+operator.StatusPath, time.Second)
+	var s operator.Status
+	if err != nil || status != fasthttp.StatusOK || json.Unmarshal(body, &s) != nil {
+		return false
+	}
+	what, want, _ := strings.Cut(fact, "=")
+	kind, name, _ := strings.Cut(what, ":")
+	switch kind {
+	case "generation":
+		return strconv.FormatInt(s.Generation, 10) == want
+	case "members":
+		live := 0
+		for _, d := range s.Daemons {
+			if d.State == "live" {
+				live++
+			}
+		}
+		return strconv.Itoa(live) == want
+	case "upstream":
+		for _, u := range s.Upstreams {
+			if u.Name == name {
+				return u.State == want
+			}
+		}
+	case "daemon":
+		for _, d := range s.Daemons {
+			if d.Name == name {
+				return d.State == want
+			}
+		}
+	}
+	return false
+}
--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -25,6 +25,7 @@
 	app.Version(version.Version)
 	commands := []command{
 		serveCommand(app),
+		awaitCommand(app),
 		loadCommand(app),
 		faultCommand(app),
 		waitCommand(app),
--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -41,3 +41,9 @@
 	}
 	return s
 }
+
+// Traffic returns the bytes of control messages that were sent and received
+// since the start: to and from peers, and reports of load.
+func (d *Daemon) Traffic() (sent, received int64) {
+	return d.traffic.Sent.Load(), d.traffic.Received.Load()
+}
--- a/internal/members/group_test.go
+++ b/internal/members/group_test.go
@@ -18,7 +18,8 @@
 	groups []*Group
 	paused map[string]bool
 	cut    func(a, b string) bool // no message passes between a and b
-	bytes  map[string]int
+	bytes  map[string]int         // sent and received by each daemon
+	counts bool                   // bytes
 }
 
 func newCluster(t assert.TestingT, n, regions int, seed uint64) *cluster {
@@ -48,7 +49,10 @@
 func (c *cluster) exchange(g *Group, t Target) {
 	peer := c.at(t.Address)
 	if c.reach(g, peer) {
-		g.Answered(c.now, t.Name, peer.Receive(c.now, g.Request(c.now, t)))
+		request := g.Request(c.now, t)
+		reply := peer.Receive(c.now, request)
+		c.count(g.self.Name, peer.self.Name, request, reply)
+		g.Answered(c.now, t.Name, reply)
 		return
 	}
 	if t.Name == "" {
