--- a/cmd/lagoonctl/main.go
+++ b/cmd/lagoonctl/main.go
@@ -17,6 +17,7 @@
 func main() {
 	app := kingpin.New("lagoonctl", "Operates lagoonmux daemons. Only apply changes what runs.\n\n"+
 		"Exit codes: 0 done, 1 failed, 2 the manifest violates a rule, 3 a daemon or the platform could not be reached, 4 another manifest was accepted first.")
+	app.UsageWriter(os.Stdout)
 	app.Version(version.Version)
 	addresses := app.Flag("address", "Operator address of a daemon; explain asks all that are given, other commands the first.").
 		Short('a').Default("127.0.0.1:7001").Strings()
--- a/cmd/lagoonmux/main.go
+++ b/cmd/lagoonmux/main.go
@@ -25,7 +25,10 @@
 )
 
 func main() {
-	app := kingpin.New("lagoonmux", "Serves callers from reclaimable VMs: routes requests to upstreams by the manifest in force.")
+	app := kingpin.New("lagoonmux", "Serves callers from reclaimable VMs: routes requests to upstreams by the manifest in force.\n\n"+
+		"SIGTERM stops it gracefully: it reports not ready, finishes the requests in flight and exits.\n\n"+
+		"Exit codes: 0 stopped, 1 failed, 2 the settings violate a rule.")
+	app.UsageWriter(os.Stdout)
 	app.Version(version.Version)
 	file := app.Flag("settings", "File with the settings of this VM, JSON with comments.").Short('s').Required().String()
 	check := app.Flag("check", "Validate the settings and exit.").Bool()
--- a/cmd/lagoonstand/fault.go
+++ b/cmd/lagoonstand/fault.go
@@ -18,6 +18,7 @@
 	plan := c.Arg("plan", `Faults as JSON, such as {"seed":1,"faults":[{"name":"slow","share":0.1,"delay_ms":500}]}; {} for none.`).Required().String()
 	address := c.Flag("address", "Address of one stand-in, instead of a selection from a manifest.").String()
 	file := c.Flag("manifest", "Manifest whose upstreams are selected.").String()
+	control := c.Flag("control", "Control address of the stand-ins, to reach those whose port is closed.").String()
 	var s standin.Selection
 	c.Flag("upstream", "Only the upstream of this name.").StringVar(&s.Upstream)
 	c.Flag("service", "Only upstreams of this service.").StringVar(&s.Service)
@@ -35,7 +36,7 @@
 		if err != nil {
 			return err
 		}
-		names, err := standin.SetFaults(m, s, p)
+		names, err := standin.SetFaults(m, s, *control, p)
 		fmt.Println("faults set upstreams=" + strings.Join(names, ","))
 		return err
 	}}
--- a/cmd/lagoonstand/load.go
+++ b/cmd/lagoonstand/load.go
@@ -27,6 +27,7 @@
 	mix      string
 	daemons  []string
 	manifest string
+	control  string
 	duration time.Duration
 	scale    float64
 	seed     uint64
@@ -40,6 +41,7 @@
 	c.Flag("mix", "Mix of callers, JSON with comments.").Required().StringVar(&f.mix)
 	c.Flag("daemon", "Caller address of a daemon; repeat for several, used in turn while ready.").Default("127.0.0.1:7000").StringsVar(&f.daemons)
 	c.Flag("manifest", "Manifest whose stand-ins are asked what they ran.").StringVar(&f.manifest)
+	c.Flag("control", "Control address of the stand-ins, to ask also those whose port is closed.").StringVar(&f.control)
 	c.Flag("duration", "Length of the run instead of the mix's.").DurationVar(&f.duration)
 	c.Flag("scale", "Factor on every arrival rate.").Default("1").Float64Var(&f.scale)
 	c.Flag("seed", "Seed instead of the mix's.").Uint64Var(&f.seed)
@@ -74,7 +76,7 @@
 }
 
 func (f *loadFlags) options() (load.Options, error) {
-	opts := load.Options{Daemons: f.daemons}
+	opts := load.Options{Daemons: f.daemons, Control: f.control}
 	mix, err := load.ReadMix(f.mix)
 	if err != nil {
 		return opts, err
--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -21,7 +21,9 @@
 }
 
 func main() {
-	app := kingpin.New("lagoonstand", "Stand-ins for model engines, plain services and the platform, and a load of callers.")
+	app := kingpin.New("lagoonstand", "Stand-ins for model engines, plain services and the platform, and a load of callers.\n\n"+
+		"Exit codes: 0 done, 1 failed, or an answer under load was wrong.")
+	app.UsageWriter(os.Stdout)
 	app.Version(version.Version)
 	commands := []command{
 		serveCommand(app),
--- a/cmd/lagoonstand/serve.go
+++ b/cmd/lagoonstand/serve.go
@@ -15,6 +15,7 @@
 	var platform standin.Platform
 	c.Flag("table", "Address of the table service; not served without.").StringVar(&platform.Table)
 	c.Flag("objects", "Address of the object store; not served without.").StringVar(&platform.Objects)
+	c.Flag("control", "Address at which /NAME/... reaches every upstream, also while its own port is closed by a fault.").StringVar(&platform.Control)
 	return command{clause: c, run: func(ctx context.Context) error {
 		m, err := standin.ReadManifest(*file)
 		if err != nil {
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -97,7 +97,10 @@
 	hooks  map[Name][]func(Fault)
 	timers []*time.Timer
 	conns  map[*conn]struct{}
-	last   []byte // body of the last whole answer, for Crossed
+
+	// The last whole answer, for Crossed.
+	lastBody []byte
+	lastID   []byte
 
 	leaving leaving
 }
--- a/internal/standin/faults/handler.go
+++ b/internal/standin/faults/handler.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +16,9 @@
 // RefusedHeader marks an answer that promises that the request was not run.
 const RefusedHeader = "Lagoonmux-Refused"
 
+// RequestIDHeader names the request to which an answer belongs.
+const RequestIDHeader = "Lagoonmux-Request-Id"
+
 // Reasons of a refusal.
 const (
 	ReasonOverloaded = "overloaded"
@@ -24,6 +28,9 @@
 
 const maxSilence = 10 * time.Minute
 
+// debugPrefix begins the paths by which a run is audited, which never fail.
+const debugPrefix = "/debug/"
+
 // RespondRefused answers that the request was not run.
 func RespondRefused(ctx *fasthttp.RequestCtx, reason, retryAfter string) {
 	ctx.Error("refused: "+reason, fasthttp.StatusServiceUnavailable)
@@ -85,6 +92,10 @@
 			s.handle(ctx)
 			return
 		}
+		if strings.HasPrefix(path, debugPrefix) {
+			next(ctx)
+			return
+		}
 		if s.before(ctx, path) {
 			return
 		}
@@ -143,16 +154,18 @@
 	s.cross(ctx, path)
 }
 
-// cross answers with the body of an earlier request if Crossed hits.
+// cross answers with the answer of an earlier request if Crossed hits.
 func (s *Set) cross(ctx *fasthttp.RequestCtx, path string) {
 	_, hit := s.Draw(Crossed, path)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if hit && s.last != nil {
-		ctx.Response.SetBody(s.last)
+	if hit && s.lastBody != nil {
+		ctx.Response.SetBody(s.lastBody)
+		ctx.Response.Header.SetBytesV(RequestIDHeader, s.lastID)
 		return
 	}
-	s.last = append(s.last[:0], ctx.Response.Body()...)
+	s.lastBody = append(s.lastBody[:0], ctx.Response.Body()...)
+	s.lastID = append(s.lastID[:0], ctx.Response.Header.Peek(RequestIDHeader)...)
 }
 
 // drop closes the connection without an answer.
--- a/internal/standin/load/audit.go
+++ b/internal/standin/load/audit.go
@@ -18,7 +18,7 @@
 
 // audit compares what callers were told with what the stand-ins did.
 type audit struct {
-	engines []string // addresses
+	engines []string // addresses, or addresses with a path
 	desks   []string
 
 	mu       sync.Mutex
@@ -27,17 +27,21 @@
 	keyed    map[string]bool // keys sent
 }
 
-func newAudit(m *manifest.Manifest) *audit {
+func newAudit(m *manifest.Manifest, control string) *audit {
 	a := &audit{notRun: make(map[string]bool), answered: make(map[string]bool), keyed: make(map[string]bool)}
 	if m == nil {
 		return a
 	}
 	active := manifest.NewActive(0, m)
 	for _, u := range m.Upstreams {
+		address := u.Address
+		if control != "" {
+			address = control + "/" + u.Name
+		}
 		if active.Service(u.Service).Kind == manifest.Plain {
-			a.desks = append(a.desks, u.Address)
+			a.desks = append(a.desks, address)
 		} else {
-			a.engines = append(a.engines, u.Address)
+			a.engines = append(a.engines, address)
 		}
 	}
 	return a
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -98,7 +98,7 @@
 			assert.Equal(t, report.Unanswered() > 0, want == Cut || want == Unknown)
 			var table strings.Builder
 			assert.NilError(t, report.WriteTable(&table))
-			assert.Assert(t, strings.Contains(table.String(), "seconds="))
+			assert.Assert(t, strings.Contains(table.String(), "summary seconds="))
 		})
 	}
 }
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -150,6 +151,23 @@
 // columns of the table, in order.
 var columns = []Verdict{OnTime, Late, NotRun, Unknown, Cut, NoAnswer, HungUp, Crossed, Wrong}
 
+// Summary returns the totals of all groups as key=value pairs on one line.
+func (r *Report) Summary() string {
+	var b strings.Builder
+	var sent int64
+	for i := range r.Groups {
+		sent += r.Groups[i].Sent
+	}
+	fmt.Fprintf(&b, "summary seconds=%.1f sent=%d", r.Seconds, sent)
+	for _, v := range columns {
+		fmt.Fprintf(&b, " %s=%d", v, r.Count(v))
+	}
+	fmt.Fprintf(&b, " doubled=%d ran_not_run=%d lost_effects=%d", len(r.Doubled), len(r.RanNotRun), len(r.LostEffects))
+	fmt.Fprintf(&b, " generated_tokens=%d cached_tokens=%d recomputed_tokens=%d cost=%.4f",
+		r.GeneratedTokens, r.CachedTokens, r.RecomputedTokens, r.Cost)
+	return b.String()
+}
+
 // WriteTable writes the report for people.
 func (r *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -173,8 +191,8 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "\nseconds=%.1f doubled=%d ran_not_run=%d lost_effects=%d generated_tokens=%d cached_tokens=%d recomputed_tokens=%d cost=%.4f\n",
-		r.Seconds, len(r.Doubled), len(r.RanNotRun), len(r.LostEffects), r.GeneratedTokens, r.CachedTokens, r.RecomputedTokens, r.Cost)
+	fmt.Fprintln(w)
+	_, err := fmt.Fprintln(w, r.Summary())
 	for _, s := range r.Samples {
 		fmt.Fprintf(w, "sample verdict=%s id=%s group=%s detail=%q\n", s.Verdict, s.ID, s.Group, s.Detail)
 	}
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -22,6 +22,7 @@
 	Mix      *Mix
 	Daemons  []string           // caller addresses
 	Manifest *manifest.Manifest // whose stand-ins are audited; nil for none
+	Control  string             // address at which the stand-ins are asked; empty for their own
 	Progress io.Writer          // nil for none
 }
 
@@ -42,7 +43,7 @@
 
 // Run plays the mix and returns the report when the last answer has come.
 func Run(ctx context.Context, opts Options) (*Report, error) {
-	r := &runner{opts: opts, audit: newAudit(opts.Manifest), groups: make(map[string]*group)}
+	r := &runner{opts: opts, audit: newAudit(opts.Manifest, opts.Control), groups: make(map[string]*group)}
 	r.client = &client{pool: upstream.NewPool(), balancer: newBalancer(opts.Daemons)}
 	defer r.client.pool.Close()
 	probing, stop := context.WithCancel(ctx)
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -111,11 +111,19 @@
 		writeJSON(ctx, s.load(time.Now()))
 	default:
 		if !s.set.RefuseLeaving(ctx) {
-			writeJSON(ctx, s.run(ctx))
+			s.answer(ctx)
 		}
 	}
 }
 
+// answer runs a call and marks the answer with the id of its request.
+func (s *Service) answer(ctx *fasthttp.RequestCtx) {
+	writeJSON(ctx, s.run(ctx))
+	if id := ctx.Request.Header.Peek(faults.RequestIDHeader); len(id) > 0 {
+		ctx.Response.Header.SetBytesV(faults.RequestIDHeader, id)
+	}
+}
+
 // run carries out one call. Its effect counts even if the answer is lost.
 func (s *Service) run(ctx *fasthttp.RequestCtx) Result {
 	s.active.Add(1)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,6 +39,7 @@
 	Table   string
 	Objects string
 	Cloud   string
+	Control string // reaches every upstream by name, whatever its faults
 }
 
 // serve adds the services to g.
@@ -65,6 +67,7 @@
 func ServeManifest(ctx context.Context, m *manifest.Manifest, p *Profile, platform Platform) error {
 	active := manifest.NewActive(0, m)
 	seen := make(map[string]*engine.Seen) // by service
+	control := make(control, len(m.Upstreams))
 	g, gctx := errgroup.WithContext(ctx)
 	platform.serve(gctx, g)
 	for i := range m.Upstreams {
@@ -72,6 +75,7 @@
 		set := faults.New()
 		if active.Service(u.Service).Kind == manifest.Plain {
 			s := plain.New(p.plain(m, u), set)
+			control[u.Name] = set.Wrap(s.Handle)
 			g.Go(func() error { return set.Serve(gctx, u.Address, s.Handle) })
 			continue
 		}
@@ -79,11 +83,30 @@
 			seen[u.Service] = engine.NewSeen()
 		}
 		e := engine.New(p.engine(m, u, seen[u.Service]), set)
+		control[u.Name] = set.Wrap(e.Handle)
 		g.Go(func() error { return e.Serve(gctx, u.Address) })
 	}
+	if platform.Control != "" {
+		g.Go(func() error { return faults.New().Serve(gctx, platform.Control, control.handle) })
+	}
 	return g.Wait()
 }
 
+// control serves what is below /NAME of each upstream, also while its own port
+// is closed.
+type control map[string]fasthttp.RequestHandler
+
+func (c control) handle(ctx *fasthttp.RequestCtx) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
+	h := c[name]
+	if h == nil {
+		ctx.Error("no such upstream", fasthttp.StatusNotFound)
+		return
+	}
+	ctx.URI().SetPath("/" + rest)
+	h(ctx)
+}
+
 // Selection names upstreams of a manifest. Empty fields match all.
 type Selection struct {
 	Upstream string
@@ -101,15 +124,20 @@
 }
 
 // SetFaults posts the plan to the selected stand-ins and returns the names of
-// those that took it.
-func SetFaults(m *manifest.Manifest, s Selection, plan faults.Plan) ([]string, error) {
+// those that took it. With the address of a control port also those take it
+// whose own port is closed.
+func SetFaults(m *manifest.Manifest, s Selection, control string, plan faults.Plan) ([]string, error) {
 	var names []string
 	for i := range m.Upstreams {
 		u := &m.Upstreams[i]
 		if !s.matches(u) {
 			continue
 		}
-		if err := PostFaults(u.Address, plan); err != nil {
+		address := u.Address
+		if control != "" {
+			address = control + "/" + u.Name
+		}
+		if err := PostFaults(address, plan); err != nil {
 			return names, err
 		}
 		names = append(names, u.Name)
@@ -120,7 +148,8 @@
 	return names, nil
 }
 
-// PostFaults posts the plan to the stand-in at address.
+// PostFaults posts the plan to the stand-in at address, which may be followed
+// by a path.
 func PostFaults(address string, plan faults.Plan) error {
 	body, err := json.Marshal(plan)
 	if err != nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -26,7 +26,7 @@
 
 note "$DEPLOYMENT: stand-ins of 20 runners, 3 desks and the platform"
 start standins "$BIN/lagoonstand" serve --manifest "$MANIFEST" --profile "$DIR/profile.json" \
-	--table "$NET.0.1:7201" --objects "$NET.0.1:7202"
+	--table "$NET.0.1:7201" --objects "$NET.0.1:7202" --control "$NET.0.1:7200"
 
 note "three daemons in three availability zones"
 for i in "${DAEMONS[@]}"; do
@@ -43,7 +43,7 @@
 done
 
 note "callers: streams, whole answers, chats, orders that may not be repeated, lookups"
-start load "$BIN/lagoonstand" load --mix "$DIR/mix.json" "${CALLERS[@]}" --manifest "$MANIFEST" --strict
+start load "$BIN/lagoonstand" load --mix "$DIR/mix.json" "${CALLERS[@]}" --manifest "$MANIFEST" --control "$NET.0.1:7200" --strict
 sleep 4
 
 note "reclaim announced: every reclaimable runner of $ZONE stops in $NOTICE_MS ms, and entry-1 too"
