--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -79,8 +79,8 @@
 
 apply_manifest() {
 	local i
+	"$BIN/lagoonctl" --address "$NET.1.1:7001" apply "$MANIFEST" >/dev/null || fail apply
 	for i in 1 3 5; do
-		"$BIN/lagoonctl" --address "$NET.1.$i:7001" apply "$MANIFEST" >/dev/null || fail apply
 		"$BIN/lagoonstand" wait "http://$NET.1.$i:7000/readyz" || fail "entry-$i is not ready"
 	done
 }
