--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -29,6 +29,7 @@
 		serveCommand(app),
 		loadCommand(app),
 		faultCommand(app),
+		reclaimCommand(app),
 		waitCommand(app),
 		benchUpstreamCommand(app),
 		benchEntryCommand(app),
--- a/cmd/lagoonstand/serve.go
+++ b/cmd/lagoonstand/serve.go
@@ -5,6 +5,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/lagoonmux/lagoonmux/internal/settings"
 	"github.com/lagoonmux/lagoonmux/internal/standin"
 )
 
@@ -15,6 +16,8 @@
 	var platform standin.Platform
 	c.Flag("table", "Address of the table service; not served without.").StringVar(&platform.Table)
 	c.Flag("objects", "Address of the object store; not served without.").StringVar(&platform.Objects)
+	c.Flag("cloud", "Address of the cloud API; not served without.").StringVar(&platform.Cloud)
+	daemons := c.Flag("settings", "Settings of a daemon whose VM the cloud API lists; repeat for several.").Strings()
 	c.Flag("control", "Address at which /NAME/... reaches every upstream, also while its own port is closed by a fault.").StringVar(&platform.Control)
 	return command{clause: c, run: func(ctx context.Context) error {
 		m, err := standin.ReadManifest(*file)
@@ -25,6 +28,13 @@
 		if err != nil {
 			return err
 		}
+		for _, path := range *daemons {
+			d, err := settings.Load(path)
+			if err != nil {
+				return err
+			}
+			platform.Daemons = append(platform.Daemons, d)
+		}
 		return standin.ServeManifest(ctx, m, p, platform)
 	}}
 }
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -41,6 +41,8 @@
 	Seed          uint64
 	// OnReclaim is called for each VM that will end, and may be nil.
 	OnReclaim func(vm cloud.VM, in time.Duration)
+	// OnRemove is called for each VM that has ended, and may be nil.
+	OnRemove func(vm cloud.VM)
 	// OnStart is called for each VM that was started, and returns the address
 	// that it listens at.
 	OnStart func(s cloud.Start) string
@@ -165,7 +167,12 @@
 func (s *Server) remove(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.vms = slices.DeleteFunc(s.vms, func(vm cloud.VM) bool { return vm.ID == id })
+	s.vms = slices.DeleteFunc(s.vms, func(vm cloud.VM) bool {
+		if vm.ID == id && s.config.OnRemove != nil {
+			go s.config.OnRemove(vm)
+		}
+		return vm.ID == id
+	})
 	s.changed()
 }
 
--- a/internal/standin/load/audit.go
+++ b/internal/standin/load/audit.go
@@ -18,6 +18,9 @@
 
 // audit compares what callers were told with what the stand-ins did.
 type audit struct {
+	manifest *manifest.Manifest // nil for none
+	control  string             // address of the control port; empty for none
+
 	engines []string // addresses, or addresses with a path
 	desks   []string
 
@@ -28,23 +31,39 @@
 }
 
 func newAudit(m *manifest.Manifest, control string) *audit {
-	a := &audit{notRun: make(map[string]bool), answered: make(map[string]bool), keyed: make(map[string]bool)}
-	if m == nil {
-		return a
-	}
-	active := manifest.NewActive(0, m)
-	for _, u := range m.Upstreams {
-		address := u.Address
-		if control != "" {
-			address = control + "/" + u.Name
+	return &audit{manifest: m, control: control,
+		notRun: make(map[string]bool), answered: make(map[string]bool), keyed: make(map[string]bool)}
+}
+
+// find looks up the stand-ins. Some may have joined during the run.
+func (a *audit) find() error {
+	a.engines, a.desks = nil, nil
+	if a.control != "" {
+		kinds := make(map[string]manifest.Kind)
+		if err := getJSON(a.control, "/", &kinds); err != nil {
+			return err
 		}
-		if active.Service(u.Service).Kind == manifest.Plain {
-			a.desks = append(a.desks, address)
-		} else {
-			a.engines = append(a.engines, address)
+		for name, kind := range kinds {
+			a.add(a.control+"/"+name, kind)
 		}
+		return nil
+	}
+	if a.manifest == nil {
+		return nil
+	}
+	active := manifest.NewActive(0, a.manifest)
+	for _, u := range a.manifest.Upstreams {
+		a.add(u.Address, active.Service(u.Service).Kind)
+	}
+	return nil
+}
+
+func (a *audit) add(address string, kind manifest.Kind) {
+	if kind == manifest.Plain {
+		a.desks = append(a.desks, address)
+	} else {
+		a.engines = append(a.engines, address)
 	}
-	return a
 }
 
 // note remembers what the caller of r was told. A key that was sent twice was
--- a/internal/standin/load/client.go
+++ b/internal/standin/load/client.go
@@ -22,6 +22,7 @@
 	// patience is how long a caller listens beyond its timeout, so that a late
 	// answer is told from one that never comes.
 	patience      = 3 * time.Second
+	askAgainAfter = 100 * time.Millisecond
 	maxReplyBytes = 16 << 20
 	readBytes     = 4096
 )
@@ -50,6 +51,7 @@
 	first   time.Duration   // to the first token, from the scheduled arrival
 	total   time.Duration   // to the last byte
 	gaps    []time.Duration // between tokens
+	asked   int             // how often it was asked again after an unknown outcome
 	detail  string          // of a verdict that is not on time
 }
 
@@ -72,10 +74,24 @@
 	return &errWrong{verdict: v, detail: fmt.Sprintf(format, args...)}
 }
 
-// do sends r, whose arrival was scheduled for arrived, and judges the answer.
+// do sends r, whose arrival was scheduled for arrived, and judges the answer. A
+// caller that is told unknown asks again under the same key until the record
+// of its request says more or its patience ends.
 func (c *client) do(ctx context.Context, r *request, arrived time.Time) result {
 	ctx, cancel := context.WithDeadline(ctx, arrived.Add(r.caller.timeout()+patience))
 	defer cancel()
+	for asked := 0; ; asked++ {
+		res := c.once(ctx, r, arrived)
+		res.asked = asked
+		if res.verdict != Unknown || r.key == "" || time.Since(arrived) > r.caller.timeout() {
+			return res
+		}
+		time.Sleep(askAgainAfter)
+	}
+}
+
+// once sends r and judges the answer.
+func (c *client) once(ctx context.Context, r *request, arrived time.Time) result {
 	res := result{}
 	x, err := c.send(ctx, r)
 	if err != nil {
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -40,7 +40,8 @@
 	Service       string            `json:"service"`
 	Sent          int64             `json:"sent"`
 	Verdicts      map[Verdict]int64 `json:"verdicts"`
-	Statuses      map[int]int64     `json:"statuses"` // of answers other than 200
+	Statuses      map[int]int64     `json:"statuses"`    // of answers other than 200
+	AskedAgain    int64             `json:"asked_again"` // after an unknown outcome, under the same key
 	Tokens        int64             `json:"tokens"`
 	FirstToken    Quantiles         `json:"first_token"`
 	BetweenTokens Quantiles         `json:"between_tokens"`
@@ -125,6 +126,7 @@
 	defer g.mu.Unlock()
 	g.report.Sent++
 	g.report.Verdicts[res.verdict]++
+	g.report.AskedAgain += int64(res.asked)
 	if res.status != 0 && res.status != 200 {
 		g.report.Statuses[res.status]++
 	}
@@ -154,11 +156,12 @@
 // Summary returns the totals of all groups as key=value pairs on one line.
 func (r *Report) Summary() string {
 	var b strings.Builder
-	var sent int64
+	var sent, asked int64
 	for i := range r.Groups {
 		sent += r.Groups[i].Sent
+		asked += r.Groups[i].AskedAgain
 	}
-	fmt.Fprintf(&b, "summary seconds=%.1f sent=%d", r.Seconds, sent)
+	fmt.Fprintf(&b, "summary seconds=%.1f sent=%d asked_again=%d", r.Seconds, sent, asked)
 	for _, v := range columns {
 		fmt.Fprintf(&b, " %s=%d", v, r.Count(v))
 	}
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -52,6 +52,9 @@
 	if opts.Progress != nil {
 		go r.progress(probing)
 	}
+	if err := r.audit.find(); err != nil {
+		return nil, err
+	}
 	before, _ := r.audit.usage()
 	r.started = time.Now()
 	var callers sync.WaitGroup
@@ -134,6 +137,9 @@
 		out.Groups = append(out.Groups, g.summary())
 	}
 	sortGroups(out.Groups)
+	if err := r.audit.find(); err != nil {
+		return nil, err
+	}
 	after, notices := r.audit.usage()
 	out.GeneratedTokens = after.generated - before.generated
 	out.CachedTokens = after.cached - before.cached
--- a/internal/standin/profile.go
+++ b/internal/standin/profile.go
@@ -18,6 +18,9 @@
 	Classes    []ClassProfile `json:"vm_classes" validate:"dive"`
 	LoadLagMS  int            `json:"load_lag_ms,omitempty" validate:"gte=0"`  // age of the load reports
 	EventLagMS int            `json:"event_lag_ms,omitempty" validate:"gte=0"` // delay of the cache events
+	ListLagMS  int            `json:"list_lag_ms,omitempty" validate:"gte=0"`  // age of the list of VMs
+
+	WeightsPerSecond float64 `json:"weights_per_second,omitempty" validate:"gte=0"` // loads that the weight store serves
 }
 
 // ClassProfile is the speed of the upstreams on one VM class.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -6,15 +6,18 @@
 import (
 	"context"
 	"encoding/json"
-	"os"
+	"net"
 	"strings"
+	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/platform/cloud"
+	"github.com/lagoonmux/lagoonmux/internal/settings"
+	cloudapi "github.com/lagoonmux/lagoonmux/internal/standin/cloud"
 	"github.com/lagoonmux/lagoonmux/internal/standin/engine"
 	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
 	"github.com/lagoonmux/lagoonmux/internal/standin/objects"
@@ -22,16 +25,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/standin/table"
 )
 
-const faultTimeout = 2 * time.Second
-
-// ReadManifest reads and validates the manifest in the named file.
-func ReadManifest(path string) (*manifest.Manifest, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Wrap(err, "read manifest")
-	}
-	return manifest.Parse(path, text)
-}
+const defaultWeightsPerSecond = 1000
 
 // Platform holds the addresses at which stand-ins of the platform's services
 // are served. An empty address leaves the service out.
@@ -39,17 +33,8 @@
 	Table   string
 	Objects string
 	Cloud   string
-	Control string // reaches every upstream by name, whatever its faults
-}
-
-// serve adds the services to g.
-func (p Platform) serve(ctx context.Context, g *errgroup.Group) {
-	if p.Table != "" {
-		g.Go(func() error { return faults.New().Serve(ctx, p.Table, table.New().Handle) })
-	}
-	if p.Objects != "" {
-		g.Go(func() error { return faults.New().Serve(ctx, p.Objects, objects.New().Handle) })
-	}
+	Control string               // reaches every upstream by name, whatever its faults
+	Daemons []*settings.Settings // whose VMs the cloud lists
 }
 
 // Serve serves the upstreams of the manifest in the named file at default
@@ -65,107 +50,191 @@
 // ServeManifest serves the upstreams of m at the speeds of p, and the
 // platform's services, until ctx ends.
 func ServeManifest(ctx context.Context, m *manifest.Manifest, p *Profile, platform Platform) error {
-	active := manifest.NewActive(0, m)
-	seen := make(map[string]*engine.Seen) // by service
-	control := make(control, len(m.Upstreams))
 	g, gctx := errgroup.WithContext(ctx)
-	platform.serve(gctx, g)
+	d := &deployment{
+		ctx: gctx, group: g, manifest: m, active: manifest.NewActive(0, m), profile: p,
+		seen: make(map[string]*engine.Seen), upstreams: make(map[string]*upstream),
+	}
+	d.servePlatform(platform)
 	for i := range m.Upstreams {
-		u := &m.Upstreams[i]
-		set := faults.New()
-		if active.Service(u.Service).Kind == manifest.Plain {
-			s := plain.New(p.plain(m, u), set)
-			control[u.Name] = set.Wrap(s.Handle)
-			g.Go(func() error { return set.Serve(gctx, u.Address, s.Handle) })
-			continue
-		}
-		if seen[u.Service] == nil {
-			seen[u.Service] = engine.NewSeen()
+		l, set, err := listen(m.Upstreams[i].Address)
+		if err != nil {
+			g.Go(func() error { return err })
+			break
 		}
-		e := engine.New(p.engine(m, u, seen[u.Service]), set)
-		control[u.Name] = set.Wrap(e.Handle)
-		g.Go(func() error { return e.Serve(gctx, u.Address) })
-	}
-	if platform.Control != "" {
-		g.Go(func() error { return faults.New().Serve(gctx, platform.Control, control.handle) })
+		d.start(&m.Upstreams[i], l, set)
 	}
 	return g.Wait()
 }
 
-// control serves what is below /NAME of each upstream, also while its own port
-// is closed.
-type control map[string]fasthttp.RequestHandler
+// deployment is the stand-ins of one deployment. Upstreams join it while it
+// runs.
+type deployment struct {
+	ctx      context.Context
+	group    *errgroup.Group
+	manifest *manifest.Manifest
+	active   *manifest.Active
+	profile  *Profile
+
+	mu        sync.Mutex
+	seen      map[string]*engine.Seen // by service
+	upstreams map[string]*upstream    // by name
+}
 
-func (c control) handle(ctx *fasthttp.RequestCtx) {
-	name, rest, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
-	h := c[name]
-	if h == nil {
-		ctx.Error("no such upstream", fasthttp.StatusNotFound)
-		return
+// upstream is one stand-in for an upstream.
+type upstream struct {
+	kind   manifest.Kind
+	set    *faults.Set
+	handle fasthttp.RequestHandler // also while the port is closed
+}
+
+func listen(address string) (net.Listener, *faults.Set, error) {
+	set := faults.New()
+	l, err := set.Listener(address)
+	return l, set, err
+}
+
+// start serves one upstream on l.
+func (d *deployment) start(u *manifest.Upstream, l net.Listener, set *faults.Set) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var handle fasthttp.RequestHandler
+	kind := d.active.Service(u.Service).Kind
+	if kind == manifest.Plain {
+		handle = plain.New(d.profile.plain(d.manifest, u), set).Handle
+	} else {
+		if d.seen[u.Service] == nil {
+			d.seen[u.Service] = engine.NewSeen()
+		}
+		e := engine.New(d.profile.engine(d.manifest, u, d.seen[u.Service]), set)
+		handle = e.Handle
+		go e.Run(d.ctx)
 	}
-	ctx.URI().SetPath("/" + rest)
-	h(ctx)
+	d.upstreams[u.Name] = &upstream{kind: kind, set: set, handle: set.Wrap(handle)}
+	d.group.Go(func() error { return set.ServeListener(d.ctx, l, handle) })
 }
 
-// Selection names upstreams of a manifest. Empty fields match all.
-type Selection struct {
-	Upstream string
-	Service  string
-	Zone     string
+func (d *deployment) upstream(name string) *upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.upstreams[name]
+}
 
-	Reclaimable bool // only reclaimable ones
+// servePlatform serves the platform's services.
+func (d *deployment) servePlatform(p Platform) {
+	d.serve(p.Table, table.New().Handle)
+	d.serve(p.Objects, objects.New().Handle)
+	d.serve(p.Control, d.control)
+	if p.Cloud != "" {
+		d.serve(p.Cloud, d.newCloud(p).Handle)
+	}
 }
 
-func (s *Selection) matches(u *manifest.Upstream) bool {
-	return (s.Upstream == "" || s.Upstream == u.Name) &&
-		(s.Service == "" || s.Service == u.Service) &&
-		(s.Zone == "" || s.Zone == u.Zone) &&
-		(!s.Reclaimable || u.Reclaimable)
+func (d *deployment) serve(address string, h fasthttp.RequestHandler) {
+	if address != "" {
+		d.group.Go(func() error { return faults.New().Serve(d.ctx, address, h) })
+	}
 }
 
-// SetFaults posts the plan to the selected stand-ins and returns the names of
-// those that took it. With the address of a control port also those take it
-// whose own port is closed.
-func SetFaults(m *manifest.Manifest, s Selection, control string, plan faults.Plan) ([]string, error) {
-	var names []string
-	for i := range m.Upstreams {
-		u := &m.Upstreams[i]
-		if !s.matches(u) {
-			continue
-		}
-		address := u.Address
-		if control != "" {
-			address = control + "/" + u.Name
-		}
-		if err := PostFaults(address, plan); err != nil {
-			return names, err
-		}
-		names = append(names, u.Name)
+// newCloud returns a cloud whose reclaims and starts reach the upstreams.
+func (d *deployment) newCloud(p Platform) *cloudapi.Server {
+	host, _, _ := net.SplitHostPort(p.Cloud)
+	vms := make([]cloud.VM, len(p.Daemons))
+	for i, s := range p.Daemons {
+		vms[i] = cloud.VM{ID: "vm-" + s.Name, Name: s.Name, Role: cloud.RoleDaemon, Address: s.Peer, Zone: s.Zone, VMClass: s.VMClass}
 	}
-	if len(names) == 0 {
-		return nil, errors.New("no upstream matches")
+	weights := d.profile.WeightsPerSecond
+	if weights == 0 {
+		weights = defaultWeightsPerSecond
+	}
+	config := cloudapi.Config{
+		Lag:           milliseconds(float64(d.profile.ListLagMS)),
+		WeightsPerSec: weights,
+		OnReclaim:     d.reclaim,
+		OnRemove:      d.remove,
+		OnStart:       func(s cloud.Start) string { return d.join(host, s) },
+	}
+	return cloudapi.New(config, d.manifest, vms)
+}
+
+// reclaim announces to an upstream that its VM ends.
+func (d *deployment) reclaim(vm cloud.VM, in time.Duration) {
+	if u := d.upstream(vm.Name); u != nil {
+		u.set.Leave(in, false)
 	}
-	return names, nil
 }
 
-// PostFaults posts the plan to the stand-in at address, which may be followed
-// by a path.
-func PostFaults(address string, plan faults.Plan) error {
-	body, err := json.Marshal(plan)
+// remove stops an upstream with its VM.
+func (d *deployment) remove(vm cloud.VM) {
+	if u := d.upstream(vm.Name); u != nil {
+		u.set.Kill()
+	}
+}
+
+// join starts an upstream on a new VM and returns its address, or nothing if
+// the service has no template.
+func (d *deployment) join(host string, s cloud.Start) string {
+	u := &manifest.Upstream{Name: s.Name, Service: s.Service, Zone: s.Zone, VMClass: s.VMClass, Reclaimable: s.Reclaimable}
+	t := d.template(s.Service)
+	if t == nil {
+		return ""
+	}
+	u.Slots, u.CacheTokens, u.ChecksFence = t.Slots, t.CacheTokens, t.ChecksFence
+	for _, c := range d.manifest.VMClasses {
+		if c.Name == s.VMClass {
+			u.PrefillPerMS = c.PrefillPerMS
+		}
+	}
+	l, set, err := listen(net.JoinHostPort(host, "0"))
 	if err != nil {
-		return errors.Wrap(err, "encode faults")
+		return ""
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + address + faults.Path)
-	req.SetBodyRaw(body)
-	if err := fasthttp.DoTimeout(req, resp, faultTimeout); err != nil {
-		return errors.Wrapf(err, "set faults at %s", address)
+	u.Address = l.Addr().String()
+	d.start(u, l, set)
+	return u.Address
+}
+
+func (d *deployment) template(service string) *manifest.Template {
+	if d.manifest.Fleet == nil {
+		return nil
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return errors.Errorf("set faults at %s: status %d: %s", address, resp.StatusCode(), resp.Body())
+	for i := range d.manifest.Fleet.Templates {
+		if t := &d.manifest.Fleet.Templates[i]; t.Service == service {
+			return t
+		}
 	}
 	return nil
 }
+
+// control serves what is below /NAME of each upstream, also while its own port
+// is closed.
+func (d *deployment) control(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) == "/" {
+		d.list(ctx)
+		return
+	}
+	name, rest, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
+	u := d.upstream(name)
+	if u == nil {
+		ctx.Error("no such upstream", fasthttp.StatusNotFound)
+		return
+	}
+	ctx.URI().SetPath("/" + rest)
+	u.handle(ctx)
+}
+
+// list answers with the kinds of all upstreams by name.
+func (d *deployment) list(ctx *fasthttp.RequestCtx) {
+	d.mu.Lock()
+	kinds := make(map[string]manifest.Kind, len(d.upstreams))
+	for name, u := range d.upstreams {
+		kinds[name] = u.kind
+	}
+	d.mu.Unlock()
+	data, err := json.Marshal(kinds)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(data)
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,14 +19,19 @@
 	;;
 esac
 DAEMONS=(1 3 5) # one in each zone; entry-1 is in $ZONE
-NOTICE_MS=4000  # from the notice to the end of the reclaimed VMs
+NOTICE=8s       # from the notice to the end of the reclaimed VMs
 
 begin "demo-$DEPLOYMENT"
 MANIFEST=$DIR/manifest.json
 
 note "$DEPLOYMENT: stand-ins of 20 runners, 3 desks and the platform"
-start standins "$BIN/lagoonstand" serve --manifest "$MANIFEST" --profile "$DIR/profile.json" \
-	--table "$NET.0.1:7201" --objects "$NET.0.1:7202" --control "$NET.0.1:7200"
+LISTED=()
+for i in "${DAEMONS[@]}"; do
+	LISTED+=(--settings "$DIR/entry-$i.json")
+done
+start standins "$BIN/lagoonstand" serve --manifest "$MANIFEST" --profile "$DIR/profile.json" "${LISTED[@]}" \
+	--table "$NET.0.1:7201" --objects "$NET.0.1:7202" --cloud "$NET.0.1:7203" --control "$NET.0.1:7200"
+"$BIN/lagoonstand" wait "http://$NET.0.1:7203/vms" || fail "the stand-ins did not start"
 
 note "three daemons in three availability zones"
 for i in "${DAEMONS[@]}"; do
@@ -46,15 +51,13 @@
 start load "$BIN/lagoonstand" load --mix "$DIR/mix.json" "${CALLERS[@]}" --manifest "$MANIFEST" --control "$NET.0.1:7200" --strict
 sleep 4
 
-note "reclaim announced: every reclaimable runner of $ZONE stops in $NOTICE_MS ms, and entry-1 too"
-"$BIN/lagoonstand" fault --manifest "$MANIFEST" --zone "$ZONE" --reclaimable \
-	"{\"faults\":[{\"name\":\"leave\",\"delay_ms\":$NOTICE_MS}]}" || fail "reclaim notice"
-stop entry-1 || fail "entry-1 did not shut down cleanly"
+note "reclaim announced: every reclaimable runner of $ZONE ends in $NOTICE, and the VM of entry-1"
+"$BIN/lagoonstand" reclaim --cloud "$NET.0.1:7203" --zone "$ZONE" --in "$NOTICE" || fail "reclaim"
+"$BIN/lagoonstand" reclaim --cloud "$NET.0.1:7203" --vm vm-entry-1 --in "$NOTICE" || fail "reclaim"
+await entry-1 || fail "entry-1 did not shut down cleanly"
 note "entry-1 has drained and stopped"
 
-LOAD=${PIDS[load]}
-unset "PIDS[load]"
-wait "$LOAD" && CODE=0 || CODE=$?
+await load && CODE=0 || CODE=$?
 cat "$WORK/load.log"
 [ $CODE -eq 0 ] || fail "an outcome was wrong"
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -4,6 +4,7 @@
 #   begin NAME          take the lock NAME, make $WORK, clean up on exit
 #   start NAME CMD...   run CMD in the background, its output in $WORK/NAME.log
 #   stop NAME           SIGTERM, wait; returns the exit code
+#   await NAME          wait until it ends by itself; returns the exit code
 #   kill_now NAME       SIGKILL, wait
 #   note TEXT...        one line of progress with the seconds since begin
 #   fail TEXT...        print TEXT and the ends of the logs, exit with 1
@@ -55,6 +56,14 @@
 	return $code
 }
 
+# await waits for a process to end by itself.
+await() {
+	local pid=${PIDS[$1]:-} code=0
+	unset "PIDS[$1]"
+	wait "$pid" || code=$?
+	return $code
+}
+
 kill_now() {
 	local pid=${PIDS[$1]:-}
 	[ -n "$pid" ] || return 0
