--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -39,7 +40,8 @@
 	Service       string            `json:"service"`
 	Sent          int64             `json:"sent"`
 	Verdicts      map[Verdict]int64 `json:"verdicts"`
-	Statuses      map[int]int64     `json:"statuses"` // of answers other than 200
+	Statuses      map[int]int64     `json:"statuses"`    // of answers other than 200
+	AskedAgain    int64             `json:"asked_again"` // after an unknown outcome, under the same key
 	Tokens        int64             `json:"tokens"`
 	FirstToken    Quantiles         `json:"first_token"`
 	BetweenTokens Quantiles         `json:"between_tokens"`
@@ -124,6 +126,7 @@
 	defer g.mu.Unlock()
 	g.report.Sent++
 	g.report.Verdicts[res.verdict]++
+	g.report.AskedAgain += int64(res.asked)
 	if res.status != 0 && res.status != 200 {
 		g.report.Statuses[res.status]++
 	}
@@ -150,6 +153,24 @@
 // columns of the table, in order.
 var columns = []Verdict{OnTime, Late, NotRun, Unknown, Cut, NoAnswer, HungUp, Crossed, Wrong}
 
+// Summary returns the totals of all groups as key=value pairs on one line.
+func (r *Report) Summary() string {
+	var b strings.Builder
+	var sent, asked int64
+	for i := range r.Groups {
+		sent += r.Groups[i].Sent
+		asked += r.Groups[i].AskedAgain
+	}
+	fmt.Fprintf(&b, "summary seconds=%.1f sent=%d asked_again=%d", r.Seconds, sent, asked)
+	for _, v := range columns {
+		fmt.Fprintf(&b, " %s=%d", v, r.Count(v))
+	}
+	fmt.Fprintf(&b, " doubled=%d ran_not_run=%d lost_effects=%d", len(r.Doubled), len(r.RanNotRun), len(r.LostEffects))
+	fmt.Fprintf(&b, " generated_tokens=%d cached_tokens=%d recomputed_tokens=%d cost=%.4f",
+		r.GeneratedTokens, r.CachedTokens, r.RecomputedTokens, r.Cost)
+	return b.String()
+}
+
 // WriteTable writes the report for people.
 func (r *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -173,8 +194,8 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "\nseconds=%.1f doubled=%d ran_not_run=%d lost_effects=%d generated_tokens=%d cached_tokens=%d recomputed_tokens=%d cost=%.4f\n",
-		r.Seconds, len(r.Doubled), len(r.RanNotRun), len(r.LostEffects), r.GeneratedTokens, r.CachedTokens, r.RecomputedTokens, r.Cost)
+	fmt.Fprintln(w)
+	_, err := fmt.Fprintln(w, r.Summary())
 	for _, s := range r.Samples {
 		fmt.Fprintf(w, "sample verdict=%s id=%s group=%s detail=%q\n", s.Verdict, s.ID, s.Group, s.Detail)
 	}
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -22,6 +22,7 @@
 	Mix      *Mix
 	Daemons  []string           // caller addresses
 	Manifest *manifest.Manifest // whose stand-ins are audited; nil for none
+	Control  string             // address at which the stand-ins are asked; empty for their own
 	Progress io.Writer          // nil for none
 }
 
@@ -42,7 +43,7 @@
 
 // Run plays the mix and returns the report when the last answer has come.
 func Run(ctx context.Context, opts Options) (*Report, error) {
-	r := &runner{opts: opts, audit: newAudit(opts.Manifest), groups: make(map[string]*group)}
+	r := &runner{opts: opts, audit: newAudit(opts.Manifest, opts.Control), groups: make(map[string]*group)}
 	r.client = &client{pool: upstream.NewPool(), balancer: newBalancer(opts.Daemons)}
 	defer r.client.pool.Close()
 	probing, stop := context.WithCancel(ctx)
@@ -51,6 +52,9 @@
 	if opts.Progress != nil {
 		go r.progress(probing)
 	}
+	if err := r.audit.find(); err != nil {
+		return nil, err
+	}
 	before, _ := r.audit.usage()
 	r.started = time.Now()
 	var callers sync.WaitGroup
@@ -133,6 +137,9 @@
 		out.Groups = append(out.Groups, g.summary())
 	}
 	sortGroups(out.Groups)
+	if err := r.audit.find(); err != nil {
+		return nil, err
+	}
 	after, notices := r.audit.usage()
 	out.GeneratedTokens = after.generated - before.generated
 	out.CachedTokens = after.cached - before.cached
