Bench: a fresh daemon for each part of a run

Cause: the memory that a part left behind was counted in the next one: the slope of memory against streams came out negative after the unpaced streams.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -58,20 +58,26 @@
   return 1
 }
 
+stop_daemon() {
+  kill "$daemon"
+  wait "$daemon" || true
+}
+
 bin/lagoonstand bench-upstream --address "$fast" &
 pids+=($!)
 bin/lagoonstand bench-upstream --address "$paced" --interval 29ms &
 pids+=($!)
 bin/lagoonstand bench-upstream --address "$plain" &
 pids+=($!)
-start_daemon
 
 for part in "${@:-idle ratios tokens requests streams decisions}"; do
   for p in $part; do
     if [ "$p" = decisions ]; then
       bin/lagoonstand bench-decisions
     else
+      start_daemon
       bin/lagoonstand bench-entry --daemon "$caller" --fast "$fast" --plain "$plain" --pid "$daemon" --key "$key" --only "$p"
+      stop_daemon
     fi
   done
 done
