--- a/cmd/lagoonstand/bench_capacity.go
+++ b/cmd/lagoonstand/bench_capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"time"
 
@@ -16,6 +17,9 @@
 	streamSizes   = []int{250, 500, 1000, 1500, 2000}
 	requestRates  = []float64{1000, 2000, 3000, 4000, 5000}
 	upstreamSizes = []int{20, 100, 500, 1000, 2500}
+	customerSizes = []int{5, 20, 100, 500}
+	callCounts    = []int{50, 100, 200, 400}
+	daemonSizes   = []int{20, 60, 120, 240, 460}
 )
 
 func benchUpstreamCommand(app *kingpin.Application) command {
@@ -69,7 +73,23 @@
 
 func benchDecisionsCommand(app *kingpin.Application) command {
 	c := app.Command("bench-decisions", "Measure slopes of decisions that need no network.")
-	return command{clause: c, run: func(context.Context) error {
-		return bench.RoutingSlopes(os.Stdout, upstreamSizes)
+	return command{clause: c, run: func(ctx context.Context) error {
+		return runDecisions(ctx, os.Stdout)
 	}}
 }
+
+func runDecisions(ctx context.Context, out io.Writer) error {
+	if err := bench.RoutingSlopes(out, upstreamSizes); err != nil {
+		return err
+	}
+	if err := bench.LimiterSlopes(out, customerSizes); err != nil {
+		return err
+	}
+	if err := bench.PlannerSlope(out, upstreamSizes); err != nil {
+		return err
+	}
+	if err := bench.LedgerSlopes(ctx, out, callCounts); err != nil {
+		return err
+	}
+	return bench.GossipSlopes(out, daemonSizes)
+}
--- a/internal/bench/decisions.go
+++ b/internal/bench/decisions.go
@@ -50,13 +50,17 @@
 // RoutingSlopes fits the time of a decision, of an update and the manifest's
 // size against the number of upstreams.
 func RoutingSlopes(out io.Writer, sizes []int) error {
-	var pick, update, size, parse []Point
+	var pick, update, size, packed, parse []Point
 	for _, n := range sizes {
 		m := Fleet(n)
 		text, err := m.Encode()
 		if err != nil {
 			return err
 		}
+		zipped, err := manifest.Pack(m)
+		if err != nil {
+			return err
+		}
 		a := manifest.NewActive(1, m)
 		members := make([]routing.Member, n)
 		for i := range members {
@@ -64,6 +68,7 @@
 		}
 		r := routing.NewRouter()
 		x := float64(n)
+		packed = append(packed, Point{x, float64(len(zipped))})
 		size = append(size, Point{x, float64(len(text))})
 		parse = append(parse, Point{x, us(fastest(1, func() { _, err = manifest.Parse("bench", text) }))})
 		if err != nil {
@@ -78,6 +83,7 @@
 	Line("routing.decision_us", "upstreams", pick).Print(out)
 	Line("routing.update_us", "upstreams", update).Print(out)
 	Line("manifest.bytes", "upstreams", size).Print(out)
+	Line("manifest.packed_bytes", "upstreams", packed).Print(out)
 	Line("manifest.parse_us", "upstreams", parse).Print(out)
 	return nil
 }
--- a/internal/bench/upstream.go
+++ b/internal/bench/upstream.go
@@ -3,15 +3,22 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/routing"
 	"github.com/lagoonmux/lagoonmux/internal/sse"
 )
 
+const (
+	loadPath = "/load"
+	kvTokens = 1 << 30 // more than any measurement takes
+)
+
 // Upstream is a model engine and a plain service that answer at once and cost
 // little, so that a measurement shows the daemon.
 type Upstream struct {
@@ -27,10 +34,18 @@
 }
 
 func (u *Upstream) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) != completion.Path {
+	switch string(ctx.Path()) {
+	case completion.Path:
+		u.complete(ctx)
+	case loadPath:
+		data, _ := json.Marshal(routing.LoadReport{At: time.Now(), Epoch: 1, KVCapacity: kvTokens}) // always encodes
+		ctx.SetBody(data)
+	default:
 		ctx.SetBodyString("ok")
-		return
 	}
+}
+
+func (u *Upstream) complete(ctx *fasthttp.RequestCtx) {
 	req, err := completion.Parse(ctx.PostBody(), false)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -44,6 +44,9 @@
  "vm_classes": [{"name": "c", "on_demand_per_hour": 1, "reclaimable_per_hour": 1}]}
 JSON
 
+table=127.14.0.1:7201
+objects=127.14.0.1:7202
+
 start_daemon() {
   bin/lagoonmux --settings "$dir/settings.json" 2> "$dir/daemon.log" &
   daemon=$!
@@ -63,6 +66,14 @@
   wait "$daemon" || true
 }
 
+cat > "$dir/platform.json" <<JSON
+{"services": [{"name": "none", "kind": "plain", "target": {"total_ms": 1000}, "routes": [{"method": "GET", "path": "/", "repeatable": true}]}],
+ "upstreams": [{"name": "none", "service": "none", "address": "127.14.0.1:7104", "zone": "a", "vm_class": "c", "slots": 1}],
+ "customers": [{"name": "bench", "key": "$key", "weight": 1, "requests_per_second": 1, "tokens_per_second": 1, "concurrency": 1}],
+ "vm_classes": [{"name": "c", "on_demand_per_hour": 1, "reclaimable_per_hour": 1}]}
+JSON
+bin/lagoonstand serve --manifest "$dir/platform.json" --table "$table" --objects "$objects" 2> "$dir/platform.log" &
+pids+=($!)
 bin/lagoonstand bench-upstream --address "$fast" &
 pids+=($!)
 bin/lagoonstand bench-upstream --address "$paced" --interval 29ms &
