--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -44,6 +44,9 @@
  "vm_classes": [{"name": "c", "on_demand_per_hour": 1, "reclaimable_per_hour": 1}]}
 JSON
 
+table=127.14.0.1:7201
+objects=127.14.0.1:7202
+
 start_daemon() {
   bin/lagoonmux --settings "$dir/settings.json" 2> "$dir/daemon.log" &
   daemon=$!
@@ -58,20 +61,34 @@
   return 1
 }
 
+stop_daemon() {
+  kill "$daemon"
+  wait "$daemon" || true
+}
+
+cat > "$dir/platform.json" <<JSON
+{"services": [{"name": "none", "kind": "plain", "target": {"total_ms": 1000}, "routes": [{"method": "GET", "path": "/", "repeatable": true}]}],
+ "upstreams": [{"name": "none", "service": "none", "address": "127.14.0.1:7104", "zone": "a", "vm_class": "c", "slots": 1}],
+ "customers": [{"name": "bench", "key": "$key", "weight": 1, "requests_per_second": 1, "tokens_per_second": 1, "concurrency": 1}],
+ "vm_classes": [{"name": "c", "on_demand_per_hour": 1, "reclaimable_per_hour": 1}]}
+JSON
+bin/lagoonstand serve --manifest "$dir/platform.json" --table "$table" --objects "$objects" 2> "$dir/platform.log" &
+pids+=($!)
 bin/lagoonstand bench-upstream --address "$fast" &
 pids+=($!)
 bin/lagoonstand bench-upstream --address "$paced" --interval 29ms &
 pids+=($!)
 bin/lagoonstand bench-upstream --address "$plain" &
 pids+=($!)
-start_daemon
 
 for part in "${@:-idle ratios tokens requests streams decisions}"; do
   for p in $part; do
     if [ "$p" = decisions ]; then
       bin/lagoonstand bench-decisions
     else
+      start_daemon
       bin/lagoonstand bench-entry --daemon "$caller" --fast "$fast" --plain "$plain" --pid "$daemon" --key "$key" --only "$p"
+      stop_daemon
     fi
   done
 done
