--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -5,7 +5,7 @@
 	"io"
 	"time"
 
-	"github.com/lagoonmux/lagoonmux/internal/fleet"
+	planner "github.com/lagoonmux/lagoonmux/internal/fleet"
 	"github.com/lagoonmux/lagoonmux/internal/limits"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/platform/cloud"
@@ -78,21 +78,21 @@
 	var plan []Point
 	for _, n := range sizes {
 		in := plannerInput(n)
-		plan = append(plan, Point{float64(n), us(fastest(1, func() { fleet.Plan(in) }))})
+		plan = append(plan, Point{float64(n), us(fastest(1, func() { planner.Plan(in) }))})
 	}
 	Line("fleet.plan_us", "runners", plan).Print(out)
 	return nil
 }
 
-func plannerInput(runners int) *fleet.Input {
+func plannerInput(runners int) *planner.Input {
 	m := Fleet(runners)
-	in := &fleet.Input{
+	in := &planner.Input{
 		Now: time.Unix(1000, 0), Service: "m", Floor: 1, Slots: 32, Loads: 10, Classes: m.VMClasses,
 		Bounds: manifest.Fleet{MaxUpstreams: 2 * runners, MaxPerHour: 1e6, MaxReclaimableFrac: 0.58},
 	}
 	for i := range m.Upstreams {
 		u := &m.Upstreams[i]
-		in.Runners = append(in.Runners, fleet.Runner{Name: u.Name, VM: u.Name, Zone: u.Zone, VMClass: u.VMClass,
+		in.Runners = append(in.Runners, planner.Runner{Name: u.Name, VM: u.Name, Zone: u.Zone, VMClass: u.VMClass,
 			Reclaimable: u.Reclaimable, PerHour: 1, Slots: u.Slots, Busy: 28, Gone: i%14 == 0})
 	}
 	for i := range 14 {
