--- a/internal/completion/encoder_test.go
+++ b/internal/completion/encoder_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/lagoonmux/lagoonmux/internal/fixedseed" // property tests
 )
 
 func TestChunkEncoderMatchesJSON(t *testing.T) {
--- a/internal/fleet/plan_test.go
+++ b/internal/fleet/plan_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/platform/cloud"
+
+	_ "github.com/lagoonmux/lagoonmux/internal/fixedseed" // property tests
 )
 
 var classes = []manifest.VMClass{
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -9,6 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+
+	_ "github.com/lagoonmux/lagoonmux/internal/fixedseed" // property tests
 )
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
--- a/internal/limits/shares_test.go
+++ b/internal/limits/shares_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/lagoonmux/lagoonmux/internal/fixedseed" // property tests
 )
 
 // cluster is a few daemons, each with a clock of its own offset.
--- a/internal/members/group_test.go
+++ b/internal/members/group_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/lagoonmux/lagoonmux/internal/fixedseed" // property tests
 )
 
 const tick = 500 * time.Millisecond
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -11,6 +11,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
+
+	_ "github.com/lagoonmux/lagoonmux/internal/fixedseed" // property tests
 )
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
