--- /dev/null
+++ b/internal/serve/backoff.go
@@ -0,0 +1,30 @@
+package serve
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// backoff spaces repetitions, twice as far each time up to a bound, with
+// jitter.
+type backoff struct {
+	next time.Duration
+	most time.Duration
+}
+
+func newBackoff(first time.Duration) *backoff { return &backoff{next: first, most: maxBackoff} }
+
+// wait waits for the next repetition and reports whether ctx still lives.
+func (b *backoff) wait(ctx context.Context) bool {
+	d := b.next
+	b.next = min(2*b.next, b.most)
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/serve/held.go
+++ b/internal/serve/held.go
@@ -16,11 +16,11 @@
 	cancel  context.CancelFunc
 	stopped chan struct{} // closed when no task works at the lot any more
 
-	recording sync.Mutex // held while a record is committed
-	lot       ledger.Hold
-	claimed   bool        // the row says that this daemon owns the lot
-	pending   *ledger.End // reached, and not yet recorded
-	settled   bool        // recorded as ended, or lost to another daemon
+	recording chan struct{} // holds one element while a record is committed
+	lot       ledger.Hold   // changes while a record is committed
+	claimed   bool          // the row says that this daemon owns the lot
+	pending   *ledger.End   // reached, and not yet recorded
+	settled   bool          // recorded as ended, or lost to another daemon
 
 	mu      sync.Mutex
 	text    strings.Builder
@@ -32,9 +32,14 @@
 
 // newHeld returns a lot whose row says already that this daemon owns it.
 func newHeld(lot ledger.Hold, input []byte) *held {
-	return &held{spec: lot.Lot, lot: lot, input: input, claimed: true, stopped: make(chan struct{})}
+	return &held{spec: lot.Lot, lot: lot, input: input, claimed: true, recording: make(chan struct{}, 1), stopped: make(chan struct{})}
 }
 
+// lock waits until no other record of the lot is being committed.
+func (h *held) lock() { h.recording <- struct{}{} }
+
+func (h *held) unlock() { <-h.recording }
+
 // restore sets what earlier owners have kept, once, before the lot is begun.
 func (h *held) restore(p progress) {
 	h.mu.Lock()
--- a/internal/serve/later.go
+++ b/internal/serve/later.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -77,7 +76,8 @@
 		return false
 	}
 	token := uuid.NewString()
-	for wait := minBackoff; ; wait *= 2 {
+	again := newBackoff(minBackoff)
+	for {
 		err := r.writer.Commit(ctx, batch.Calls, token, []platform.Write{w})
 		if err == nil {
 			return true
@@ -85,7 +85,7 @@
 		if errors.Is(err, platform.ErrConflict) {
 			return false
 		}
-		if !sleep(ctx, wait) {
+		if !again.wait(ctx) {
 			r.log.Warn("record not kept", "step", stepLedger, "peer", peerTable, "key", w.Key, "error", err)
 			return false
 		}
@@ -119,39 +119,28 @@
 
 // readLater repeats a read until it succeeds or ctx ends.
 func (r *Recorder) readLater(ctx context.Context, id string) (ledger.Stored, bool) {
-	for wait := minBackoff; ; wait *= 2 {
+	again := newBackoff(minBackoff)
+	for {
 		found, err := r.read(ctx, id)
 		if err == nil {
 			return found, true
 		}
-		if !sleep(ctx, wait) {
+		if !again.wait(ctx) {
 			return ledger.Stored{}, false
 		}
 	}
 }
 
 func (r *Recorder) putObject(ctx context.Context, name string, data []byte) bool {
-	for wait := minBackoff; ; wait *= 2 {
+	again := newBackoff(minBackoff)
+	for {
 		err := r.objects.Put(ctx, name, data)
 		if err == nil {
 			return true
 		}
-		if !sleep(ctx, wait) {
+		if !again.wait(ctx) {
 			r.log.Warn("answer not kept", "step", stepLedger, "peer", "objects", "object", name, "error", err)
 			return false
 		}
 	}
 }
-
-// sleep waits about d, at most maxBackoff, and reports whether ctx still lives.
-func sleep(ctx context.Context, d time.Duration) bool {
-	d = min(d, maxBackoff)
-	t := time.NewTimer(d/2 + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/serve/lotrecord.go
+++ b/internal/serve/lotrecord.go
@@ -21,8 +21,8 @@
 // when the lot is no longer this daemon's, and the table's error when the
 // change is not certain, after which it may be repeated.
 func (l *Lots) record(ctx context.Context, h *held, f lotChange) error {
-	h.recording.Lock()
-	defer h.recording.Unlock()
+	h.lock()
+	defer h.unlock()
 	if !h.claimed {
 		if err := l.commitLot(ctx, h, claim); err != nil {
 			return err
@@ -79,12 +79,13 @@
 // insist repeats a change until it is certain, the lot is no longer this
 // daemon's, or ctx ends.
 func (l *Lots) insist(ctx context.Context, h *held, f lotChange) error {
-	for wait := minBackoff; ; wait *= 2 {
+	again := newBackoff(minBackoff)
+	for {
 		err := l.record(ctx, h, f)
 		if err == nil || !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknown) {
 			return err
 		}
-		if !sleep(ctx, wait) {
+		if !again.wait(ctx) {
 			return err
 		}
 	}
@@ -110,10 +111,10 @@
 // storeProgress writes the progress object of this owner's epoch, and returns
 // its name, or the name in force if there is nothing new.
 func (l *Lots) storeProgress(ctx context.Context, h *held, p progress) (string, error) {
-	h.recording.Lock()
+	h.lock()
 	open := h.lot.Open
 	id := h.spec.ID
-	h.recording.Unlock()
+	h.unlock()
 	if p.Tokens == open.Tokens {
 		return open.Progress, nil
 	}
--- a/internal/serve/lots.go
+++ b/internal/serve/lots.go
@@ -120,7 +120,9 @@
 	if err := l.objects.Put(ctx, ledger.InputObject(lot.ID), input); err != nil {
 		return "", call.Refused(stepLots, "objects", fasthttp.StatusServiceUnavailable, err)
 	}
-	for wait := minBackoff; ; wait *= 2 {
+	uncertain := false
+	again := newBackoff(minBackoff)
+	for {
 		err = l.writer.Commit(ctx, batch.Lots, token, writes)
 		if err == nil {
 			l.hold(newHeld(hold, input))
@@ -129,15 +131,17 @@
 		if errors.Is(err, platform.ErrConflict) {
 			return l.acceptedBefore(ctx, newHeld(hold, input))
 		}
-		if errors.Is(err, batch.ErrBudget) || !sleep(ctx, wait) {
-			// The row may exist: the lot may run, though it is not owed.
-			return "", acceptError(err)
+		uncertain = uncertain || errors.Is(err, platform.ErrUnknown)
+		if errors.Is(err, batch.ErrBudget) || !again.wait(ctx) {
+			return "", acceptError(err, uncertain)
 		}
 	}
 }
 
-func acceptError(err error) error {
-	if errors.Is(err, platform.ErrUnknown) {
+// acceptError returns the error of a lot that was not accepted. If a commit is
+// uncertain the rows may exist, and then some daemon runs the lot.
+func acceptError(err error, uncertain bool) error {
+	if uncertain {
 		return call.Lost(stepLots, peerTable, fasthttp.StatusServiceUnavailable, err)
 	}
 	return call.Refused(stepLots, peerTable, fasthttp.StatusServiceUnavailable, err)
--- a/internal/serve/lotwork.go
+++ b/internal/serve/lotwork.go
@@ -65,7 +65,8 @@
 	if err := l.load(ctx, h); err != nil {
 		return nil, err
 	}
-	for wait := lotBackoff; ; wait *= 2 {
+	again := newBackoff(lotBackoff)
+	for {
 		if h.spec.MaxTokens > 0 && h.progress().Finish != "" {
 			return l.whole(ctx, h)
 		}
@@ -80,13 +81,14 @@
 			return failedLot(h, err), nil
 		}
 		l.log.Debug("lot waits", "id", h.spec.ID, "error", err)
-		sleep(ctx, wait)
+		again.wait(ctx)
 	}
 }
 
 // load reads the input of a lot that another daemon accepted.
 func (l *Lots) load(ctx context.Context, h *held) error {
-	for wait := lotBackoff; h.input == nil; wait *= 2 {
+	again := newBackoff(lotBackoff)
+	for h.input == nil {
 		input, err := l.objects.Get(ctx, ledger.InputObject(h.spec.ID))
 		if err == nil {
 			h.input = append([]byte{}, input...)
@@ -95,7 +97,7 @@
 		if errors.Is(err, platform.ErrNotFound) {
 			return errors.Wrap(errEnded, "input of the lot is gone")
 		}
-		if !sleep(ctx, wait) {
+		if !again.wait(ctx) {
 			return ctx.Err()
 		}
 	}
@@ -144,8 +146,8 @@
 // nextAttempts returns the number of the last attempt, as far as anyone can
 // know: each try and each owner begins far above those before.
 func (h *held) nextAttempts() int {
-	h.recording.Lock()
-	defer h.recording.Unlock()
+	h.lock()
+	defer h.unlock()
 	h.lot.Open.Attempts += attemptsPerTry
 	return h.lot.Open.Attempts + int(h.lot.Open.Epoch)*attemptsPerOwner
 }
@@ -158,12 +160,13 @@
 // whole stores the whole answer of a model service.
 func (l *Lots) whole(ctx context.Context, h *held) (*ledger.End, error) {
 	p := h.progress()
-	for wait := lotBackoff; ; wait *= 2 {
+	again := newBackoff(lotBackoff)
+	for {
 		name, err := l.storeProgress(ctx, h, p)
 		if err == nil {
 			return &ledger.End{Event: ledger.Answer, Outcome: string(call.Answered), Answer: name, Tokens: p.Tokens}, nil
 		}
-		if !sleep(ctx, wait) {
+		if !again.wait(ctx) {
 			return nil, err
 		}
 	}
@@ -211,12 +214,13 @@
 	rec := &ledger.Reply{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
 	if len(reply.Body) > maxInlineBytes {
 		rec.Body, rec.Object = nil, "lot-"+h.spec.ID+"-reply"
-		for wait := lotBackoff; ; wait *= 2 {
+		again := newBackoff(lotBackoff)
+		for {
 			err := l.objects.Put(ctx, rec.Object, reply.Body)
 			if err == nil {
 				break
 			}
-			if !sleep(ctx, wait) {
+			if !again.wait(ctx) {
 				return nil, err
 			}
 		}
--- a/internal/serve/recorder.go
+++ b/internal/serve/recorder.go
@@ -30,7 +30,11 @@
 	maxBackoff     = time.Second
 	maxLater       = 1024 // records under way behind their answers
 	maxInlineBytes = 200 << 10
-	maxAdmissions  = 3 // decisions on one call while others change its record
+	busyPoll       = 15 * time.Millisecond // between reads of a record that is awaited
+	maxBusyPoll    = 250 * time.Millisecond
+	maxBusyWait    = time.Second
+	minBusyLeft    = 100 * time.Millisecond // of the caller's patience
+	maxAdmissions  = 3                      // decisions on one call while others change its record
 )
 
 // Committer commits writes for a user of the write budget.
@@ -79,12 +83,20 @@
 	var s ledger.Stored // unknown rows are taken for absent: the commit finds out
 	id := ledger.RequestID(c.Customer.Name, c.IdempotencyKey)
 	hash := ledger.HashRequest(c.Service.Name, c.Method, c.Path, c.ContentType, c.Body)
-	for range maxAdmissions {
+	busy := &backoff{next: busyPoll, most: maxBusyPoll}
+	for admissions := 0; admissions < maxAdmissions; admissions++ {
 		in := ledger.Intent{ID: id, Customer: c.Customer.Name, Hash: hash, Daemon: r.daemon, Token: uuid.NewString()}
 		d, err := ledger.Admit(s, in, time.Now())
 		if err != nil {
 			return nil, call.Lost(stepLedger, peerTable, fasthttp.StatusInternalServerError, err)
 		}
+		if d.Verdict == ledger.Busy && d.Next.Record.State == ledger.Dispatched && r.mayWait(c) && busy.wait(ctx) {
+			if s, err = r.read(ctx, id); err != nil {
+				return nil, call.Lost(stepLedger, peerTable, fasthttp.StatusServiceUnavailable, err)
+			}
+			admissions--
+			continue
+		}
 		if d.Verdict != ledger.MayDispatch {
 			return r.fromRecord(ctx, c, d)
 		}
@@ -101,13 +113,21 @@
 	return nil, call.Lost(stepLedger, peerTable, fasthttp.StatusConflict, err)
 }
 
+// mayWait tells whether a caller that asks again while its call runs may be
+// kept waiting for the answer.
+func (r *Recorder) mayWait(c *call.Call) bool {
+	now := time.Now()
+	return now.Sub(c.Arrived) < maxBusyWait && now.Add(minBusyLeft).Before(c.Deadline)
+}
+
 // claim commits the dispatch of a call. It returns nil and no error once the
 // dispatch is certain, or the record that stands in its way.
 func (r *Recorder) claim(ctx context.Context, c *call.Call, s ledger.Stored, d ledger.Decision, token string) (*ledger.Stored, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	uncertain := false
-	for wait := minBackoff; ; wait *= 2 {
+	again := newBackoff(minBackoff)
+	for {
 		err := r.writer.Commit(ctx, batch.Calls, token, []platform.Write{d.Write})
 		if err == nil {
 			c.Trace.Add(trace.Step{At: time.Now(), Name: "dispatched", Peer: peerTable, Attempt: d.Next.Record.Attempt})
@@ -118,7 +138,7 @@
 		}
 		c.Trace.Add(trace.Step{At: time.Now(), Name: "commit-failed", Peer: peerTable, Detail: err.Error()})
 		uncertain = uncertain || errors.Is(err, platform.ErrUnknown)
-		if errors.Is(err, batch.ErrBudget) || !sleep(ctx, wait) {
+		if errors.Is(err, batch.ErrBudget) || !again.wait(ctx) {
 			r.giveUp(s, d, uncertain)
 			return nil, call.Refused(stepLedger, peerTable, fasthttp.StatusServiceUnavailable, err)
 		}
