Lots: four faults that the soak found

- A write of progress that was paused landed after the whole answer under the same name, and a cut answer counted as done.
Names now hold the number of tokens, so no write can take the place of a longer one.
- A record given up as uncertain landed late at the version that the next one expected, and was taken for it: a booking counted as dispatched while its row said running, another daemon adopted it, and it ran twice.
A row is now this daemon's change only if it says the same.
- A dispatch that landed late left a booking that its daemon could not dispatch (the chart refuses it), until the deadline.
It is now recognised.
- A commit of a daemon that had handed a lot over landed late and took the lot from its receiver, who now goes on from that row.

Follow passes on only tokens that are kept: a later owner might generate others in the place of those that were not.

--- a/internal/ledger/lot.go
+++ b/internal/ledger/lot.go
@@ -190,6 +190,11 @@
 // wrote. It settles a commit whose answer was lost.
 func (o *Open) Owns(token string) bool { return o.Token == token }
 
+// Same tells whether two open rows of one owner say the same but for the lease.
+func (o *Open) Same(other *Open) bool {
+	return o.State == other.State && o.Tokens == other.Tokens && o.Progress == other.Progress
+}
+
 // Decode reads a row as JSON into v.
 func Decode(row platform.Row, v any) error {
 	return errors.Wrapf(json.Unmarshal(row.Value, v), "decode %s", row.Key)
--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -113,6 +113,7 @@
 		return false
 	}
 	h := newHeld(ledger.Take(v.Lot, l.daemon, uuid.NewString()), v.Input)
+	h.from = v.Lot.Open.Token
 	h.claimed = false
 	h.pending = v.End
 	h.restore(v.Progress)
--- a/internal/serve/held.go
+++ b/internal/serve/held.go
@@ -18,6 +18,7 @@
 
 	recording chan struct{} // holds one element while a record is committed
 	lot       ledger.Hold   // changes while a record is committed
+	from      string        // token of the owner that handed the lot over and has stopped; empty for none
 	claimed   bool          // the row says that this daemon owns the lot
 	pending   *ledger.End   // reached, and not yet recorded
 	settled   bool          // recorded as ended, or lost to another daemon
@@ -26,6 +27,7 @@
 	text    strings.Builder
 	ends    []int // offset in the text of the end of each token
 	finish  string
+	kept    int           // tokens that the row tells of
 	ended   bool          // the end is recorded, or the lot is no longer this daemon's
 	changed chan struct{} // closed at the next change; nil while nobody waits
 }
@@ -46,7 +48,7 @@
 	defer h.mu.Unlock()
 	h.text.WriteString(p.Text)
 	h.ends = append([]int(nil), p.Ends...)
-	h.finish = p.Finish
+	h.finish, h.kept = p.Finish, p.Tokens
 }
 
 // Token implements call.Sink.
@@ -84,12 +86,30 @@
 	return progress{Tokens: len(h.ends), Text: h.text.String(), Ends: h.ends[:len(h.ends):len(h.ends)], Finish: h.finish}
 }
 
-// waitBeyond returns a channel that is closed once there are more than n
-// tokens, or nil if there are already or no more will come.
+// keptProgress returns the part of progress that survives this daemon.
+func (h *held) keptProgress() progress {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := progress{Tokens: h.kept, Ends: h.ends[:h.kept:h.kept]}
+	if h.kept > 0 {
+		p.Text = h.text.String()[:h.ends[h.kept-1]]
+	}
+	return p
+}
+
+func (h *held) setKept(tokens int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.kept = max(h.kept, tokens)
+	h.wake()
+}
+
+// waitBeyond returns a channel that is closed at the next change, or nil if more
+// than n tokens are kept already or no more will come.
 func (h *held) waitBeyond(n int) <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.ends) > n || h.ended {
+	if h.kept > n || h.ended {
 		return nil
 	}
 	if h.changed == nil {
--- a/internal/serve/lookup.go
+++ b/internal/serve/lookup.go
@@ -32,7 +32,7 @@
 	Tokens  int         // in Text
 	Reply   *call.Reply // of a done call of a plain service
 
-	progress progress
+	progress progress // that survives a daemon
 }
 
 // Ended tells whether nothing more will happen to the request.
@@ -69,6 +69,7 @@
 func (h *held) status() *Status {
 	s := statusOf(&h.spec)
 	s.add(h.progress())
+	s.progress = h.keptProgress()
 	return s
 }
 
@@ -88,6 +89,9 @@
 		name = open.Progress
 	}
 	p, err := l.readProgress(ctx, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		err = errors.Wrap(platform.ErrUnavailable, "progress was replaced while it was read")
+	}
 	s.add(p)
 	return s, err
 }
@@ -123,17 +127,20 @@
 }
 
 // Follow passes the tokens of a lot from an index on to sink, as they come,
-// until the last. It works on any daemon: at another than the lot's owner, the
-// tokens come as they are kept.
+// until the last. It works on any daemon. Only tokens that are kept go out: a
+// later owner might generate others in the place of those that were not.
 func (l *Lots) Follow(ctx context.Context, customer, id string, from int, sink call.Sink) error {
 	for {
 		s, err := l.Status(ctx, customer, id)
-		if err != nil {
+		if errors.Is(err, ErrNoRequest) {
 			return err
 		}
-		for ; from < s.Tokens; from++ {
+		if err != nil {
+			s = &Status{} // the platform's trouble may pass
+		}
+		for ; from < s.progress.Tokens; from++ {
 			t := call.Token{Index: from, Text: s.progress.token(from)}
-			if from == s.Tokens-1 {
+			if from == s.progress.Tokens-1 {
 				t.Finish = s.progress.Finish
 			}
 			if err := sink.Token(t); err != nil {
--- a/internal/serve/lotrecord.go
+++ b/internal/serve/lotrecord.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
+	"fmt"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/lagoonmux/lagoonmux/internal/chart"
 	"github.com/lagoonmux/lagoonmux/internal/ledger"
 	"github.com/lagoonmux/lagoonmux/internal/platform"
 	"github.com/lagoonmux/lagoonmux/internal/platform/batch"
@@ -34,16 +35,21 @@
 
 // claim records that this daemon owns a lot that it has taken.
 func claim(h ledger.Hold, now time.Time) (ledger.Hold, []platform.Write, error) {
+	if h.Open.State == ledger.Dispatched {
+		return ledger.Change(h, ledger.Refuse, leaseTime, now)
+	}
 	return ledger.Change(h, ledger.Adopt, leaseTime, now)
 }
 
-// commitLot commits a change once. The caller holds the lot's recording lock.
+// commitLot commits a change once, unless it has no writes. The caller holds the lot's recording lock.
 func (l *Lots) commitLot(ctx context.Context, h *held, f lotChange) error {
 	next, writes, err := f(h.lot, time.Now())
 	if err != nil {
 		return err
 	}
-	err = l.writer.Commit(ctx, batch.Lots, uuid.NewString(), writes)
+	if len(writes) > 0 {
+		err = l.writer.Commit(ctx, batch.Lots, uuid.NewString(), writes)
+	}
 	if err == nil {
 		h.lot = next
 		return nil
@@ -54,9 +60,8 @@
 	return l.settleLot(ctx, h, next)
 }
 
-// settleLot reads the open row after a conflict. Only this daemon writes rows
-// with its token, so a row of the expected version with it is the change whose
-// answer was lost.
+// settleLot reads the open row after a conflict, which may be with the change
+// itself, whose answer was lost.
 func (l *Lots) settleLot(ctx context.Context, h *held, next ledger.Hold) error {
 	open, version, err := l.readOpen(ctx, h.spec.ID)
 	if errors.Is(err, platform.ErrNotFound) {
@@ -65,17 +70,35 @@
 	if err != nil {
 		return err
 	}
+	if h.from != "" && !h.claimed && open.Owns(h.from) {
+		// A commit of the owner before arrived late. Nothing followed it, since
+		// that owner had stopped: the lot is taken from there.
+		h.lot.Version, h.lot.Open.State = version, open.State
+		return errors.Wrap(platform.ErrUnavailable, "record of the lot was behind")
+	}
 	if !open.Owns(next.Open.Token) {
 		return errNotOwner
 	}
-	if version == next.Version {
-		h.lot = next
+	// An earlier record of this daemon, given up as uncertain, may have taken
+	// the version: the row is this change only if it says the same.
+	h.lot.Version, h.lot.Open = version, open
+	if version == next.Version && open.Same(&next.Open) {
 		return nil
 	}
-	h.lot.Version, h.lot.Open = version, open
 	return errors.Wrap(platform.ErrUnavailable, "record of the lot was behind")
 }
 
+// moveTo returns a change to a state by an event, which does nothing if an
+// earlier record of it took effect late.
+func moveTo(state chart.State, e chart.Event) lotChange {
+	return func(h ledger.Hold, now time.Time) (ledger.Hold, []platform.Write, error) {
+		if h.Open.State == state {
+			return h, nil, nil
+		}
+		return ledger.Change(h, e, leaseTime, now)
+	}
+}
+
 // insist repeats a change until it is certain, the lot is no longer this
 // daemon's, or ctx ends.
 func (l *Lots) insist(ctx context.Context, h *held, f lotChange) error {
@@ -99,26 +122,36 @@
 	if err != nil {
 		return err
 	}
-	return l.record(ctx, h, func(hold ledger.Hold, now time.Time) (ledger.Hold, []platform.Write, error) {
+	var before string
+	err = l.record(ctx, h, func(hold ledger.Hold, now time.Time) (ledger.Hold, []platform.Write, error) {
 		if hold.Open.State != ledger.Running {
 			return hold, nil, errDispatched
 		}
+		before = hold.Open.Progress
 		hold.Open.Tokens, hold.Open.Progress = p.Tokens, name
 		return ledger.Change(hold, ledger.Keep, leaseTime, now)
 	})
+	if err != nil {
+		return err
+	}
+	h.setKept(p.Tokens)
+	if before != "" && before != name {
+		_ = l.objects.Delete(ctx, before) // a reader that misses it reads the row again
+	}
+	return nil
 }
 
-// storeProgress writes the progress object of this owner's epoch, and returns
-// its name, or the name in force if there is nothing new.
+// storeProgress writes a progress object and returns its name, or the name in
+// force if there is nothing new. The name holds the number of tokens, so that
+// a write which arrives late can't take the place of a longer one.
 func (l *Lots) storeProgress(ctx context.Context, h *held, p progress) (string, error) {
 	h.lock()
 	open := h.lot.Open
-	id := h.spec.ID
 	h.unlock()
-	if p.Tokens == open.Tokens {
+	if p.Tokens == open.Tokens && p.Finish == "" {
 		return open.Progress, nil
 	}
-	name := "lot-" + id + "-" + strconv.FormatInt(open.Epoch, 10) + "-" + open.Token
+	name := fmt.Sprintf("lot-%s-%d-%s-%d", h.spec.ID, open.Epoch, open.Token, p.Tokens)
 	data, err := json.Marshal(p)
 	if err != nil {
 		return "", errors.Wrap(err, "encode progress")
--- a/internal/serve/lotwork.go
+++ b/internal/serve/lotwork.go
@@ -172,37 +172,37 @@
 	}
 }
 
-// tryPlain runs a lot of a plain service. One that may not be repeated is
-// recorded as dispatched before the first byte, for good.
+// tryPlain runs a lot of a plain service.
 func (l *Lots) tryPlain(ctx context.Context, h *held, c *call.Call) (*ledger.End, error) {
 	if !c.Repeatable {
-		err := l.insist(ctx, h, func(hold ledger.Hold, now time.Time) (ledger.Hold, []platform.Write, error) {
-			return ledger.Change(hold, ledger.Dispatch, leaseTime, now)
-		})
-		if err != nil {
-			return nil, err
-		}
+		return l.tryOnce(ctx, h, c)
 	}
-	// A dispatch that may not be repeated runs to its end, whoever waits.
-	run := ctx
-	if !c.Repeatable {
-		var cancel context.CancelFunc
-		run, cancel = context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
-		defer cancel()
+	reply, err := l.dispatcher.Plain(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return l.replied(ctx, h, reply)
+}
+
+// tryOnce runs a lot that may not be repeated. It is recorded as dispatched
+// before the first byte, for good, and runs to its end, whoever waits.
+func (l *Lots) tryOnce(ctx context.Context, h *held, c *call.Call) (*ledger.End, error) {
+	if err := l.insist(ctx, h, moveTo(ledger.Dispatched, ledger.Dispatch)); err != nil {
+		return nil, err
 	}
+	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
+	defer cancel()
 	reply, err := l.dispatcher.Plain(run, c)
+	var end *ledger.End
 	if err == nil {
-		return l.replied(run, h, reply)
-	}
-	if c.Repeatable {
-		return nil, err
+		end, err = l.replied(run, h, reply)
+		if err == nil {
+			return end, nil
+		}
 	}
 	var ce *call.Error
 	if errors.As(err, &ce) && ce.Outcome == call.NotRun {
-		rerr := l.insist(ctx, h, func(hold ledger.Hold, now time.Time) (ledger.Hold, []platform.Write, error) {
-			return ledger.Change(hold, ledger.Refuse, leaseTime, now)
-		})
-		if rerr != nil {
+		if rerr := l.insist(ctx, h, moveTo(ledger.Running, ledger.Refuse)); rerr != nil {
 			return nil, rerr
 		}
 		return nil, err
