--- a/internal/serve/soak_test.go
+++ b/internal/serve/soak_test.go
@@ -266,7 +266,9 @@
 			Dispatcher: v, Manifests: &current, Peers: v, Log: hclog.NewNullLogger(),
 		}))
 		w.lots[i].SetDaemons(soakDaemons)
-		tasks.Go(func() { _ = w.lots[i].Run(ctx) })
+	}
+	for _, l := range w.lots {
+		tasks.Go(func() { _ = l.Run(ctx) })
 	}
 	for key := range 6 {
 		for ask := range 3 {
