--- a/Makefile
+++ b/Makefile
@@ -21,15 +21,15 @@
 unit:
 	$(GO) tool gotestsum --format pkgname -- -race -count=1 ./...
 
-model-check: ## the ledger's models, and that each broken variant is caught
-	spec/check.sh
+model-check: ## every model under spec/, and that each broken variant is caught
+	scripts/model-check.sh
 
 SECONDS ?= 60
 soak: ## the ledger under drawn faults on a virtual clock, for SECONDS
 	SOAK_SECONDS=$(SECONDS) $(GO) test -run TestSoak -count=1 -v -timeout $$(($(SECONDS) + 300))s ./internal/serve
 
 faults: build ## daemons and stand-ins as processes, faults alone and two at a time
-	scripts/faults.sh
+	scripts/faults-ledger.sh
 
 demo: build ## the main job on loopback; fails unless every outcome is right
 	scripts/demo.sh $(DEPLOYMENT)
--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -29,6 +29,7 @@
 		serveCommand(app),
 		awaitCommand(app),
 		loadCommand(app),
+		owedCommand(app),
 		faultCommand(app),
 		reclaimCommand(app),
 		waitCommand(app),
--- a/spec/ledger.pml
+++ b/spec/ledger.pml
@@ -6,9 +6,10 @@
  * may take effect after its daemon has given it up.
  *
  * Checked: the call runs at most once; a caller that is told not-run can rely
- * on it. A broken variant is chosen by a macro; spec/check.sh lists them, and
+ * on it. A broken variant is chosen by a macro, and
  * each must fail.
  */
+// variants: NO_CONDITION RUN_UNCERTAIN REFUSE_AFTER_SEND RELEASE_BY_VERSION NOT_RUN_ON_LOSS SEND_AFTER_PROMISE
 
 #define DAEMONS 2
 
--- a/spec/ledger_lots.pml
+++ b/spec/ledger_lots.pml
@@ -6,8 +6,9 @@
  * lapse while their holder is paused and still works. The third adopts.
  *
  * Checked: a lot that the caller was told is accepted is never lost; it gets
- * one recorded answer. Broken variants as in spec/check.sh.
+ * one recorded answer. The broken variants must fail.
  */
+// variants: NO_CONDITION TELL_BEFORE_RECORD RECORD_BEFORE_OBJECT REPEAT_BLINDLY
 
 #define DAEMONS 3
 #define NOBODY 255
--- a/spec/ledger_stream.pml
+++ b/spec/ledger_stream.pml
@@ -7,8 +7,9 @@
  *
  * Checked: every token of the answer belongs to the request; the indexes have
  * no gap and no repetition; no token of an attempt follows one of a later
- * attempt. Broken variants as in spec/check.sh.
+ * attempt. The broken variants must fail.
  */
+// variants: NO_REQUEST_CHECK NO_ATTEMPT_CHECK NO_INDEX_CHECK
 
 #define TOKENS 3
 #define ATTEMPTS 2
