--- a/internal/serve/held.go
+++ b/internal/serve/held.go
@@ -16,32 +16,39 @@
 	cancel  context.CancelFunc
 	stopped chan struct{} // closed when no task works at the lot any more
 
-	recording sync.Mutex // held while a record is committed
-	lot       ledger.Hold
-	claimed   bool        // the row says that this daemon owns the lot
-	pending   *ledger.End // reached, and not yet recorded
-	settled   bool        // recorded as ended, or lost to another daemon
+	recording chan struct{} // holds one element while a record is committed
+	lot       ledger.Hold   // changes while a record is committed
+	from      string        // token of the owner that handed the lot over and has stopped; empty for none
+	claimed   bool          // the row says that this daemon owns the lot
+	pending   *ledger.End   // reached, and not yet recorded
+	settled   bool          // recorded as ended, or lost to another daemon
 
 	mu      sync.Mutex
 	text    strings.Builder
 	ends    []int // offset in the text of the end of each token
 	finish  string
+	kept    int           // tokens that the row tells of
 	ended   bool          // the end is recorded, or the lot is no longer this daemon's
 	changed chan struct{} // closed at the next change; nil while nobody waits
 }
 
 // newHeld returns a lot whose row says already that this daemon owns it.
 func newHeld(lot ledger.Hold, input []byte) *held {
-	return &held{spec: lot.Lot, lot: lot, input: input, claimed: true, stopped: make(chan struct{})}
+	return &held{spec: lot.Lot, lot: lot, input: input, claimed: true, recording: make(chan struct{}, 1), stopped: make(chan struct{})}
 }
 
+// lock waits until no other record of the lot is being committed.
+func (h *held) lock() { h.recording <- struct{}{} }
+
+func (h *held) unlock() { <-h.recording }
+
 // restore sets what earlier owners have kept, once, before the lot is begun.
 func (h *held) restore(p progress) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.text.WriteString(p.Text)
 	h.ends = append([]int(nil), p.Ends...)
-	h.finish = p.Finish
+	h.finish, h.kept = p.Finish, p.Tokens
 }
 
 // Token implements call.Sink.
@@ -79,12 +86,30 @@
 	return progress{Tokens: len(h.ends), Text: h.text.String(), Ends: h.ends[:len(h.ends):len(h.ends)], Finish: h.finish}
 }
 
-// waitBeyond returns a channel that is closed once there are more than n
-// tokens, or nil if there are already or no more will come.
+// keptProgress returns the part of progress that survives this daemon.
+func (h *held) keptProgress() progress {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := progress{Tokens: h.kept, Ends: h.ends[:h.kept:h.kept]}
+	if h.kept > 0 {
+		p.Text = h.text.String()[:h.ends[h.kept-1]]
+	}
+	return p
+}
+
+func (h *held) setKept(tokens int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.kept = max(h.kept, tokens)
+	h.wake()
+}
+
+// waitBeyond returns a channel that is closed at the next change, or nil if more
+// than n tokens are kept already or no more will come.
 func (h *held) waitBeyond(n int) <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.ends) > n || h.ended {
+	if h.kept > n || h.ended {
 		return nil
 	}
 	if h.changed == nil {
