--- a/spec/check.sh
+++ b/spec/check.sh
@@ -51,4 +51,12 @@
 for macro in NO_REQUEST_CHECK NO_ATTEMPT_CHECK NO_INDEX_CHECK; do
 	check ledger_stream "$macro" fail
 done
+check control_manifest "" pass
+for macro in BLIND_APPLY RETRY_NEW_TOKEN GO_BACK; do
+	check control_manifest "$macro" fail
+done
+check control_lease "" pass
+for macro in NO_COMMIT_WITH_LEASE NO_REPEAT NO_FENCE_CHECK; do
+	check control_lease "$macro" fail
+done
 exit $bad
--- a/spec/control-lease.pml
+++ b/spec/control_lease.pml
@@ -1,8 +1,6 @@
 // Fleet duty: a lease whose version is the fencing number, holders that pause for
 // any time between any two steps, an engine that checks the number and one that
 // ignores it.
-//
-// variants: NO_COMMIT_WITH_LEASE NO_REPEAT NO_FENCE_CHECK
 
 #define HOLDERS 3
 
--- a/spec/control-manifest.pml
+++ b/spec/control_manifest.pml
@@ -1,7 +1,5 @@
 // Manifest: racing applies over a table that loses answers, and daemons that
 // learn of manifests from the table and from each other.
-//
-// variants: BLIND_APPLY RETRY_NEW_TOKEN GO_BACK
 
 #define MAXGEN 3
 
