Limits: a request that waited for its customer's limits is refused as over-limit

Cause: a queued request whose time was up was refused as overloaded (503), also when its customer's own limits held it back; and one with short patience could reach its deadline before the next tick, which gave 504.

--- /dev/null
+++ b/internal/daemon/limits_test.go
@@ -0,0 +1,37 @@
+package daemon_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+)
+
+// TestOverLimitIsRefused sends four times the customer's limit at once.
+func TestOverLimitIsRefused(t *testing.T) {
+	caller := start(t)
+	results := make(chan *http.Response)
+	for range 40 {
+		go func() {
+			resp, _ := post(t, "http://"+caller+completion.Path, `{"model":"fortune","prompt":"hello","max_tokens":1}`,
+				http.Header{"Request-Timeout": {"0.5"}})
+			results <- resp
+		}()
+	}
+	answered, refused := 0, 0
+	for range 40 {
+		resp := <-results
+		if resp.StatusCode == http.StatusOK {
+			answered++
+			continue
+		}
+		assert.Check(t, resp.Header.Get("Lagoonmux-Outcome") == "not-run")
+		assert.Check(t, resp.Header.Get("Retry-After") != "")
+		if resp.StatusCode == http.StatusTooManyRequests {
+			refused++
+		}
+	}
+	assert.Assert(t, answered > 0 && refused > 0, "%d answered, %d over the limit", answered, refused)
+}
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -159,7 +159,7 @@
 // token and unless it is a lot, when too little of the target is left.
 func (l *Limiter) latestStart(now, patience time.Duration, it *Item) time.Duration {
 	s := it.service
-	latest := now + patience - min(s.duration(it), patience/2)
+	latest := now + patience - min(s.duration(it)+slack, patience/2)
 	if s.target > 0 && it.Class != manifest.Lot {
 		latest = min(latest, now+s.target/startPart)
 	}
@@ -276,6 +276,10 @@
 func (l *Limiter) expire(now time.Duration, s *service) {
 	for _, it := range s.late(now) {
 		s.remove(it)
+		if c := it.customer; !c.allows(now, it) {
+			l.refuse(it, OverLimit, max(c.wait(now, it, c.queued), c.concurrencyWait(s, it)))
+			continue
+		}
 		l.refuse(it, Overloaded, s.wait(it))
 	}
 }
