--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -50,8 +50,9 @@
 	}
 	cancellation struct{ item *limits.Item }
 	completed    struct {
-		item *limits.Item
-		used int
+		item   *limits.Item
+		used   int
+		served bool
 	}
 	newMembers   struct{ members []limits.Member }
 	demandReport struct{ data []byte }
@@ -156,7 +157,7 @@
 }
 
 func (m cancellation) handle(a *admission, now time.Time) { a.limiter.Cancel(now, m.item) }
-func (m completed) handle(a *admission, now time.Time)    { a.limiter.Done(now, m.item, m.used, true) }
+func (m completed) handle(a *admission, now time.Time)    { a.limiter.Done(now, m.item, m.used, m.served) }
 func (m newMembers) handle(a *admission, now time.Time)   { a.limiter.SetMembers(now, m.members) }
 func (m statsRequest) handle(a *admission, _ time.Time)   { m.reply <- a.limiter.Stats() }
 
@@ -200,7 +201,7 @@
 	case <-ctx.Done():
 	}
 	a.send(cancellation{item})
-	a.send(completed{item, 0}) // admitted in the meantime
+	a.send(completed{item: item}) // in case it was admitted in the meantime
 	return nil, call.Refused(stepAdmit, "", fasthttp.StatusGatewayTimeout, errors.New(admissionCanceled))
 }
 
@@ -228,7 +229,7 @@
 
 // Done implements serve.Ticket.
 func (t *ticket) Done(tokens int) {
-	t.admission.send(completed{t.item, t.prompt + tokens})
+	t.admission.send(completed{t.item, t.prompt + tokens, true})
 }
 
 // ShareLimits shares the customers' limits with the daemons that gossip
