--- a/internal/bench/gossip.go
+++ b/internal/bench/gossip.go
@@ -101,7 +101,7 @@
 // GossipSlopes fits the bytes and the time that membership costs a daemon
 // against the number of daemons. Bytes count at both ends and without those of
 // the transport.
-func GossipSlopes(out io.Writer, sizes []int) error {
+func GossipSlopes(out io.Writer, sizes []int) {
 	var traffic, cores []Point
 	for _, n := range sizes {
 		g := newGossip(n)
@@ -120,5 +120,4 @@
 	}
 	Line("members.bytes_per_second", "daemons", traffic).Print(out)
 	Line("members.cores", "daemons", cores).Print(out)
-	return nil
 }
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -64,7 +64,7 @@
 order() { ask "$CALL/svc/orders/orders" --header "Idempotency-Key: $1" --data '{"tins":2}'; }
 fault() { show "$BIN/lagoonstand" fault "$@"; }
 calm() { "$BIN/lagoonstand" fault --manifest "$WORK/manifest.json" '{}' >/dev/null 2>&1 || true; }
-seen() { tail -n "+$((MARK + 1))" "$WORK/entry-1.log" | grep -v 'event=answered' | tail -n "${1:-6}" || true; }
+seen() { tail -n "+$((MARK + 1))" "$WORK/entry-1.log" | grep -vE 'event=answered|cloud API' | tail -n "${1:-6}" || true; }
 mark() { MARK=$(wc -l <"$WORK/entry-1.log"); }
 
 begin failures
@@ -97,6 +97,7 @@
 mark
 fault --manifest "$WORK/manifest.json" --upstream engine-2 '{"faults":[{"name":"kill","for_ms":4000}]}'
 stream
+show "${CTL[@]}" explain "$ID"
 sleep 2
 seen
 sleep 4
@@ -104,7 +105,7 @@
 
 section "Answers cut and crossed"
 mark
-fault --manifest "$WORK/manifest.json" --service fortune '{"seed":3,"faults":[{"name":"cut","tokens":5,"count":1}]}'
+fault --manifest "$WORK/manifest.json" --upstream engine-2 '{"seed":3,"faults":[{"name":"cut","tokens":5,"count":1}]}'
 stream
 show "${CTL[@]}" explain "$ID"
 seen
@@ -113,7 +114,7 @@
 section "Open connections go silent"
 stream >/dev/null
 mark
-fault --manifest "$WORK/manifest.json" --service fortune '{"faults":[{"name":"blackhole"}]}'
+fault --manifest "$WORK/manifest.json" --upstream engine-2 '{"faults":[{"name":"blackhole"}]}'
 stream
 show "${CTL[@]}" explain "$ID"
 calm
@@ -147,6 +148,9 @@
 echo "entry-1: $(cat "$WORK/a.out") (exit code $A)"
 echo "entry-2: $(cat "$WORK/b.out") (exit code $B)"
 
+section "What the daemon has counted"
+show "${CTL[@]}" histograms
+
 section "Daemon ends without notice"
 mark
 kill_now entry-2
