One idempotency key runs once, whether answered now or later

Cause: a call that may not be repeated and the same call with respond-async kept rows of different kinds, call.N/id and lot.N/id. A caller that got no answer and asked again in the other form had its order run twice.

Ruled out: one kind of row for both. A lot needs an owner, a lease and progress, which would make every plain call's row larger and its charts one.

Now a lot whose call may not be repeated commits the row of its key together with its own rows, in state lot of the request chart. A plain call with that key is answered from the lot, and a lot whose key belongs to a call is answered by the call's record, or refused with 409. After: 1 run in either order, and a refused call may still become a lot.

--- a/internal/ledger/call.go
+++ b/internal/ledger/call.go
@@ -14,10 +14,11 @@
 
 // Verdicts.
 const (
-	MayDispatch Verdict = iota // commit the write; dispatch once it is certain
+	MayDispatch Verdict = iota // commit the write; go on once it is certain
 	Replay                     // answer from the record
 	Busy                       // another dispatch holds the call, or held it and lost its answer
 	Mismatch                   // the idempotency key belongs to another request
+	Elsewhere                  // the lot of the same id has the answer
 )
 
 // Intent is a call that wants to be dispatched.
@@ -39,6 +40,17 @@
 // Admit decides on a call whose row is s. An error is a record that the chart
 // doesn't know.
 func Admit(s Stored, in Intent, now time.Time) (Decision, error) {
+	return decide(s, in, Dispatch, now)
+}
+
+// AdmitLot decides on a call whose row is s and that is to be accepted as a
+// lot. The write must be committed with the rows of the lot, so that the call
+// cannot be dispatched beside it.
+func AdmitLot(s Stored, in Intent, now time.Time) (Decision, error) {
+	return decide(s, in, Reserve, now)
+}
+
+func decide(s Stored, in Intent, e chart.Event, now time.Time) (Decision, error) {
 	r := s.Record
 	if s.Version == 0 {
 		r = Record{State: requestChart.Initial(), ID: in.ID, Customer: in.Customer, Hash: in.Hash}
@@ -48,6 +60,8 @@
 		return Decision{Verdict: Mismatch, Next: s}, nil
 	case r.State == Done:
 		return Decision{Verdict: Replay, Next: s}, nil
+	case r.State == AsLot:
+		return Decision{Verdict: Elsewhere, Next: s}, nil
 	case r.State == Dispatched || r.State == LostAnswer:
 		return Decision{Verdict: Busy, Next: s}, nil
 	}
@@ -55,7 +69,7 @@
 	r.Token = in.Token
 	r.Attempt++
 	r.Reason = ""
-	next, w, err := fire(Stored{Version: s.Version, Record: r}, Dispatch, now)
+	next, w, err := fire(Stored{Version: s.Version, Record: r}, e, now)
 	return Decision{Verdict: MayDispatch, Next: next, Write: w}, err
 }
 
@@ -100,9 +114,16 @@
 	return fire(s, Lose, now)
 }
 
+// lotMargin is how much longer the row that reserves a key for a lot is kept:
+// beyond the lot's own row, whose retention begins when the lot ends.
+const lotMargin = 2 * time.Hour
+
 // Expired tells whether the record may be collected: nothing more can happen to
 // it and its retention is over.
 func Expired(s Stored, retention time.Duration, now time.Time) bool {
+	if s.Record.State == AsLot {
+		retention += lotMargin
+	}
 	return now.Sub(s.Record.At) > retention
 }
 
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -28,6 +28,7 @@
 	Done       chart.State = "done"
 	Refused    chart.State = "refused" // not run; may be dispatched again
 	LostAnswer chart.State = "lost"    // may have run; its answer will not come
+	AsLot      chart.State = "lot"     // accepted as a lot of the same id, which has the answer
 )
 
 // Events of a call that may not be repeated.
@@ -36,6 +37,7 @@
 	Answer   chart.Event = "answer"
 	Refuse   chart.Event = "refuse"
 	Lose     chart.Event = "lose"
+	Reserve  chart.Event = "reserve" // for a lot
 )
 
 // Partitions is the number of partitions over which records of one kind are
--- a/internal/serve/later.go
+++ b/internal/serve/later.go
@@ -121,7 +121,7 @@
 func (r *Recorder) readLater(ctx context.Context, id string) (ledger.Stored, bool) {
 	again := newBackoff(minBackoff)
 	for {
-		found, err := r.read(ctx, id)
+		found, err := readCall(ctx, r.table, id)
 		if err == nil {
 			return found, true
 		}
--- a/internal/serve/lots.go
+++ b/internal/serve/lots.go
@@ -112,32 +112,88 @@
 	if c.Prompt == "" {
 		input = append([]byte(nil), c.Body...)
 	}
+	if err := l.objects.Put(ctx, ledger.InputObject(lot.ID), input); err != nil {
+		return "", call.Refused(stepLots, "objects", fasthttp.StatusServiceUnavailable, err)
+	}
+	var key ledger.Stored // an unknown row is taken for absent: the commit finds out
+	for range maxAdmissions {
+		found, err := l.tryAccept(ctx, lot, input, key)
+		if found == nil {
+			return lot.ID, err
+		}
+		key = *found
+	}
+	err := errors.New("record changes too often")
+	return "", call.Lost(stepLots, peerTable, fasthttp.StatusConflict, err)
+}
+
+// tryAccept commits a lot whose idempotency key has the row key. It returns the
+// row that stands in the way if there is another.
+func (l *Lots) tryAccept(ctx context.Context, lot ledger.Lot, input []byte, key ledger.Stored) (*ledger.Stored, error) {
 	token := uuid.NewString()
 	hold, writes, err := ledger.AcceptLot(lot, l.daemon, token, leaseTime, time.Now())
 	if err != nil {
-		return "", call.Refused(stepLots, "", fasthttp.StatusInternalServerError, err)
+		return nil, call.Refused(stepLots, "", fasthttp.StatusInternalServerError, err)
 	}
-	if err := l.objects.Put(ctx, ledger.InputObject(lot.ID), input); err != nil {
-		return "", call.Refused(stepLots, "objects", fasthttp.StatusServiceUnavailable, err)
+	if reservesKey(&lot) {
+		in := ledger.Intent{ID: lot.ID, Customer: lot.Customer, Hash: lot.Hash, Daemon: l.daemon, Token: token}
+		d, err := ledger.AdmitLot(key, in, time.Now())
+		if err != nil {
+			return nil, call.Lost(stepLots, peerTable, fasthttp.StatusInternalServerError, err)
+		}
+		if d.Verdict != ledger.MayDispatch {
+			return nil, keyTaken(d)
+		}
+		writes = append(writes, d.Write)
 	}
+	return l.commitAccept(ctx, newHeld(hold, input), token, writes)
+}
+
+func (l *Lots) commitAccept(ctx context.Context, h *held, token string, writes []platform.Write) (*ledger.Stored, error) {
 	uncertain := false
 	again := newBackoff(minBackoff)
 	for {
-		err = l.writer.Commit(ctx, batch.Lots, token, writes)
+		err := l.writer.Commit(ctx, batch.Lots, token, writes)
 		if err == nil {
-			l.hold(newHeld(hold, input))
-			return lot.ID, nil
+			l.hold(h)
+			return nil, nil
 		}
 		if errors.Is(err, platform.ErrConflict) {
-			return l.acceptedBefore(ctx, newHeld(hold, input))
+			return l.acceptedBefore(ctx, h)
 		}
 		uncertain = uncertain || errors.Is(err, platform.ErrUnknown)
 		if errors.Is(err, batch.ErrBudget) || !again.wait(ctx) {
-			return "", acceptError(err, uncertain)
+			return nil, acceptError(err, uncertain)
 		}
 	}
 }
 
+// reservesKey tells whether the lot must hold its idempotency key against calls
+// that are not lots, since running both would run it twice.
+func reservesKey(lot *ledger.Lot) bool {
+	return lot.Key != "" && !lot.Repeatable
+}
+
+// keyTaken returns the error of a lot whose key belongs to a call, or nil if
+// the call is answered: its status answers for the lot.
+func keyTaken(d ledger.Decision) error {
+	rec := &d.Next.Record
+	switch d.Verdict {
+	case ledger.Replay:
+		return nil
+	case ledger.Mismatch:
+		return mismatch(stepLots)
+	default:
+		err := errors.Errorf("request %s was made before and is %s by daemon %s", rec.ID, rec.State, rec.Daemon)
+		return call.Lost(stepLots, rec.Daemon, fasthttp.StatusConflict, err)
+	}
+}
+
+func mismatch(step string) error {
+	err := errors.New("the idempotency key was used with another request")
+	return call.Refused(step, "", fasthttp.StatusUnprocessableEntity, err)
+}
+
 // acceptError returns the error of a lot that was not accepted. If a commit is
 // uncertain the rows may exist, and then some daemon runs the lot.
 func acceptError(err error, uncertain bool) error {
@@ -147,24 +203,30 @@
 	return call.Refused(stepLots, peerTable, fasthttp.StatusServiceUnavailable, err)
 }
 
-// acceptedBefore answers for a lot whose row exists: by the same commit, or by
-// an earlier call with the same key.
-func (l *Lots) acceptedBefore(ctx context.Context, h *held) (string, error) {
+// acceptedBefore answers for a lot of which a row exists: by the same commit, by
+// an earlier call with the same key, or as the row of the key, which it returns.
+func (l *Lots) acceptedBefore(ctx context.Context, h *held) (*ledger.Stored, error) {
 	id := h.spec.ID
 	lot, _, err := l.readLot(ctx, id)
+	if errors.Is(err, platform.ErrNotFound) && reservesKey(&h.spec) {
+		key, err := readCall(ctx, l.table, id)
+		if err != nil {
+			return nil, call.Lost(stepLots, peerTable, fasthttp.StatusServiceUnavailable, err)
+		}
+		return &key, nil
+	}
 	if err != nil {
-		return "", call.Lost(stepLots, peerTable, fasthttp.StatusServiceUnavailable, err)
+		return nil, call.Lost(stepLots, peerTable, fasthttp.StatusServiceUnavailable, err)
 	}
 	if lot.Hash != h.spec.Hash || lot.Customer != h.spec.Customer {
-		err := errors.New("the idempotency key was used with another request")
-		return "", call.Refused(stepLots, "", fasthttp.StatusUnprocessableEntity, err)
+		return nil, mismatch(stepLots)
 	}
 	open, version, err := l.readOpen(ctx, id)
 	if err == nil && open.Owns(h.lot.Open.Token) {
 		h.lot.Version = version
 		l.hold(h)
 	}
-	return id, nil
+	return nil, nil
 }
 
 func newLot(c *call.Call) ledger.Lot {
@@ -180,7 +242,11 @@
 	if c.Prompt != "" {
 		body = []byte(c.Prompt)
 	}
-	lot.Hash = ledger.HashRequest(lot.Service, lot.Method, lot.Path, lot.ContentType+strconv.Itoa(lot.MaxTokens), body)
+	kind := lot.ContentType
+	if lot.MaxTokens > 0 {
+		kind += strconv.Itoa(lot.MaxTokens)
+	}
+	lot.Hash = ledger.HashRequest(lot.Service, lot.Method, lot.Path, kind, body)
 	return lot
 }
 
--- a/internal/serve/lots_test.go
+++ b/internal/serve/lots_test.go
@@ -264,6 +264,55 @@
 	assert.Equal(t, got.Outcome, "unknown")
 }
 
+// TestOneKeyBothWays checks that a key that is used for a lot and for a plain
+// call runs once, in either order, and is free after a refusal.
+func TestOneKeyBothWays(t *testing.T) {
+	ctx := context.Background()
+	s := newSite(t)
+	good := &runner{}
+	lots, calls := s.start("one", "", good), recorder(t, "two", s.table, good)
+	later := func(key, body string) *call.Call {
+		c := order(key, body)
+		c.Active = s.manifests.Load()
+		return c
+	}
+
+	id, err := lots.Accept(ctx, later("a", "one tin"))
+	assert.NilError(t, err)
+	wait(t, lots, id, (*serve.Status).Ended)
+	reply, err := calls.Plain(ctx, order("a", "one tin"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(reply.Body), "tin")
+	_, err = calls.Plain(ctx, order("a", "two tins"))
+	wantError(t, err, 422, call.NotRun)
+	assert.Equal(t, good.runs.Load(), int64(1))
+
+	_, err = calls.Plain(ctx, order("b", "one tin"))
+	assert.NilError(t, err)
+	id, err = lots.Accept(ctx, later("b", "one tin"))
+	assert.NilError(t, err)
+	got := wait(t, lots, id, (*serve.Status).Ended)
+	assert.Equal(t, string(got.Reply.Body), "tin")
+	_, err = lots.Accept(ctx, later("b", "two tins"))
+	wantError(t, err, 422, call.NotRun)
+	assert.Equal(t, good.runs.Load(), int64(2))
+
+	full := &desk{err: call.Refused("dispatch", "d", 503, errors.New("overloaded"))}
+	_, err = recorder(t, "three", s.table, full).Plain(ctx, order("c", "one tin"))
+	wantError(t, err, 503, call.NotRun)
+	id, err = lots.Accept(ctx, later("c", "one tin"))
+	assert.NilError(t, err)
+	wait(t, lots, id, (*serve.Status).Ended)
+	assert.Equal(t, good.runs.Load(), int64(3))
+
+	lossy := &desk{err: call.Lost("dispatch", "d", 502, errors.New("cut"))}
+	_, err = recorder(t, "four", s.table, lossy).Plain(ctx, order("d", "one tin"))
+	wantError(t, err, 502, call.Unknown)
+	_, err = lots.Accept(ctx, later("d", "one tin"))
+	wantError(t, err, 409, call.Unknown)
+	assert.Equal(t, good.runs.Load(), int64(3))
+}
+
 func TestTableDownLotIsRefused(t *testing.T) {
 	s := newSite(t)
 	one := s.start("one", "", &runner{gate: open(), after: -1})
--- a/internal/serve/recorder.go
+++ b/internal/serve/recorder.go
@@ -91,7 +91,7 @@
 			return nil, call.Lost(stepLedger, peerTable, fasthttp.StatusInternalServerError, err)
 		}
 		if d.Verdict == ledger.Busy && d.Next.Record.State == ledger.Dispatched && r.mayWait(c) && busy.wait(ctx) {
-			if s, err = r.read(ctx, id); err != nil {
+			if s, err = readCall(ctx, r.table, id); err != nil {
 				return nil, call.Lost(stepLedger, peerTable, fasthttp.StatusServiceUnavailable, err)
 			}
 			admissions--
@@ -148,7 +148,7 @@
 // settle reads the record after a conflict. The conflict may be with the
 // commit itself, whose first answer was lost.
 func (r *Recorder) settle(ctx context.Context, d ledger.Decision, token string) (*ledger.Stored, error) {
-	found, err := r.read(ctx, d.Next.Record.ID)
+	found, err := readCall(ctx, r.table, d.Next.Record.ID)
 	if err != nil {
 		// Some dispatch of this request exists, perhaps an earlier one.
 		return nil, call.Lost(stepLedger, peerTable, fasthttp.StatusServiceUnavailable, err)
@@ -159,9 +159,9 @@
 	return &found, nil
 }
 
-// read returns the record of a call; version 0 if there is none.
-func (r *Recorder) read(ctx context.Context, id string) (ledger.Stored, error) {
-	row, err := r.table.Get(ctx, ledger.CallKey(id))
+// readCall returns the record of a call; version 0 if there is none.
+func readCall(ctx context.Context, table platform.Table, id string) (ledger.Stored, error) {
+	row, err := table.Get(ctx, ledger.CallKey(id))
 	if errors.Is(err, platform.ErrNotFound) {
 		return ledger.Stored{}, nil
 	}
@@ -231,10 +231,32 @@
 		}
 		return reply, nil
 	case ledger.Mismatch:
-		err := errors.New("the idempotency key was used with another request")
-		return nil, call.Refused(stepLedger, "", fasthttp.StatusUnprocessableEntity, err)
+		return nil, mismatch(stepLedger)
+	case ledger.Elsewhere:
+		return r.fromLot(ctx, rec)
 	default:
 		err := errors.Errorf("request %s is %s by daemon %s since %s %s", rec.ID, rec.State, rec.Daemon, rec.At.UTC().Format(time.RFC3339Nano), rec.Reason)
 		return nil, call.Lost(stepLedger, rec.Daemon, fasthttp.StatusConflict, err)
 	}
 }
+
+// fromLot answers a call that was accepted as a lot, once the lot is answered.
+func (r *Recorder) fromLot(ctx context.Context, rec *ledger.Record) (*call.Reply, error) {
+	row, err := r.table.Get(ctx, ledger.LotKey(rec.ID))
+	if err != nil {
+		return nil, call.Lost(stepLedger, peerTable, fasthttp.StatusServiceUnavailable, err)
+	}
+	var lot ledger.Lot
+	if err := ledger.Decode(row, &lot); err != nil {
+		return nil, call.Lost(stepLedger, peerTable, fasthttp.StatusInternalServerError, err)
+	}
+	if lot.State != ledger.Done || lot.Reply == nil {
+		err := errors.Errorf("request %s was accepted to be answered later and is %s", rec.ID, lot.State)
+		return nil, call.Lost(stepLedger, "", fasthttp.StatusConflict, err)
+	}
+	reply, err := readReply(ctx, r.objects, lot.Reply)
+	if err != nil {
+		return nil, call.Lost(stepLedger, "objects", fasthttp.StatusServiceUnavailable, err)
+	}
+	return reply, nil
+}
