Bookings at a silent upstream end; a stop no longer waits for them

A dispatch that may not be repeated now waits three times its service's target, at least 5 s, and then counts as lost; a stop waits for its own deadline only. A test fixes the reads and writes of each kind of request.

--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -49,7 +49,6 @@
 		})
 	}
 	_ = g.Wait()
-	l.tasks.Wait()
 }
 
 func (l *Lots) handOver(ctx context.Context, h *held) {
--- a/internal/serve/lookup.go
+++ b/internal/serve/lookup.go
@@ -87,6 +87,9 @@
 			return nil, err
 		}
 		name = open.Progress
+		if open.State != "" {
+			s.State = string(open.State)
+		}
 	}
 	p, err := l.readProgress(ctx, name)
 	if errors.Is(err, platform.ErrNotFound) {
--- a/internal/serve/lots.go
+++ b/internal/serve/lots.go
@@ -72,7 +72,6 @@
 	mu     sync.Mutex
 	held   map[string]*held // by id
 	closed bool
-	tasks  sync.WaitGroup
 }
 
 // LotsConfig names the parts that lots need.
@@ -195,11 +194,11 @@
 	l.held[id] = h
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	l.tasks.Go(func() {
+	go func() {
 		defer close(h.stopped)
 		defer cancel()
 		l.own(ctx, h)
-	})
+	}()
 	return true
 }
 
--- a/internal/serve/lots_test.go
+++ b/internal/serve/lots_test.go
@@ -301,3 +301,58 @@
 		assert.Equal(t, sink.text.String(), text(8)[len(text(2)):])
 	}
 }
+
+// counting counts what passes to a table.
+type counting struct {
+	platform.Table
+	reads, commits, rows atomic.Int64
+}
+
+func (c *counting) Get(ctx context.Context, key string) (platform.Row, error) {
+	c.reads.Add(1)
+	return c.Table.Get(ctx, key)
+}
+
+func (c *counting) Commit(ctx context.Context, token string, writes []platform.Write) error {
+	c.commits.Add(1)
+	c.rows.Add(int64(len(writes)))
+	return c.Table.Commit(ctx, token, writes)
+}
+
+// TestTableCost fixes what each kind of request costs at the table.
+func TestTableCost(t *testing.T) {
+	ctx := context.Background()
+	s := newSite(t)
+	table := &counting{Table: s.table.Memory}
+	r := &runner{gate: open(), after: -1}
+	w := batch.New(table, batch.Options{RowsPerSecond: 1000, Daemons: 1})
+	defer w.Close()
+	rec := serve.NewRecorder("one", table, s.objects, w, r, hclog.NewNullLogger())
+	lots := serve.NewLots(serve.LotsConfig{Daemon: "one", Table: table, Objects: s.objects, Writer: w, Admitter: serve.Unlimited{},
+		Dispatcher: r, Manifests: &s.manifests, Peers: toPeer{s, ""}, Log: hclog.NewNullLogger()})
+	accept := func(c *call.Call) {
+		_, err := lots.Accept(ctx, c)
+		assert.NilError(t, err)
+		for lots.Held() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	booking := s.lot(0)
+	booking.Prompt, booking.Repeatable, booking.Body, booking.IdempotencyKey = "", false, []byte("seat"), "b"
+	for _, tc := range []struct {
+		name                 string
+		run                  func()
+		reads, commits, rows int64
+	}{
+		{"order", func() { _, _ = rec.Plain(ctx, order("k", "a")) }, 0, 2, 2},
+		{"same key again", func() { _, _ = rec.Plain(ctx, order("k", "a")) }, 1, 1, 1},
+		{"lot shorter than the interval of records", func() { accept(s.lot(5)) }, 0, 2, 4},
+		{"booking", func() { accept(booking) }, 0, 3, 5},
+	} {
+		reads, commits, rows := table.reads.Load(), table.commits.Load(), table.rows.Load()
+		tc.run()
+		assert.Equal(t, table.reads.Load()-reads, tc.reads, tc.name)
+		assert.Equal(t, table.commits.Load()-commits, tc.commits, tc.name)
+		assert.Equal(t, table.rows.Load()-rows, tc.rows, tc.name)
+	}
+}
--- a/internal/serve/lotwork.go
+++ b/internal/serve/lotwork.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	onceFactor  = 3 // times the service's target
+	minOnce     = 5 * time.Second
 	lotBackoff  = 100 * time.Millisecond // before another try at a lot, rising
 	endPatience = time.Second            // for the record of an end when the daemon stops
 )
@@ -190,7 +192,7 @@
 	if err := l.insist(ctx, h, moveTo(ledger.Dispatched, ledger.Dispatch)); err != nil {
 		return nil, err
 	}
-	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.Deadline)
+	run, cancel := context.WithTimeout(context.WithoutCancel(ctx), onceTimeout(c, time.Now()))
 	defer cancel()
 	reply, err := l.dispatcher.Plain(run, c)
 	var end *ledger.End
@@ -210,6 +212,13 @@
 	return &ledger.End{Event: ledger.Fail, Outcome: string(call.Unknown), Reason: err.Error()}, nil
 }
 
+// onceTimeout returns how long a dispatch that may not be repeated waits for
+// its answer, before the answer counts as lost.
+func onceTimeout(c *call.Call, now time.Time) time.Duration {
+	target := time.Duration(c.Service.Target.TotalMS) * time.Millisecond
+	return min(max(onceFactor*target, minOnce), c.Deadline.Sub(now))
+}
+
 func (l *Lots) replied(ctx context.Context, h *held, reply *call.Reply) (*ledger.End, error) {
 	rec := &ledger.Reply{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
 	if len(reply.Body) > maxInlineBytes {
