--- a/scripts/faults-ledger.sh
+++ b/scripts/faults-ledger.sh
@@ -47,31 +47,48 @@
 JSON
 }
 
-# plan ADDRESS FAULT switches one fault of a stand-in on.
-plan() { "$BIN/lagoonstand" fault --address "$1" "{\"seed\":7,\"faults\":[$2]}" >/dev/null; }
+# add ADDRESS FAULT notes a fault of a stand-in for the row.
+add() { PLANS[$1]=${PLANS[$1]:+${PLANS[$1]},}$2; }
 
-# strike FAULT lets a fault begin, and end by itself while callers still come.
+# strike FAULT... lets faults begin, those of one stand-in together. They end by
+# themselves while callers still come.
 strike() {
-	case $1 in
-	table-down) plan "$TABLE" '{"name":"down","for_ms":1500}' ;;
-	table-slow) plan "$TABLE" '{"name":"slow","delay_ms":900,"for_ms":2000}' ;;
-	commit-lost) plan "$TABLE" '{"name":"lost","share":0.3,"for_ms":2500}' ;;
-	objects-down) plan "$OBJECTS" '{"name":"down","for_ms":1500}' ;;
-	upstream-refuses) plan "$NET.0.1:7102" '{"name":"refuse","share":0.5}' && plan "$NET.0.1:7101" '{"name":"refuse","share":0.5}' ;;
-	upstream-silent) plan "$NET.0.2:7102" '{"name":"silent","share":0.3,"for_ms":2000}' && plan "$NET.0.2:7101" '{"name":"blackhole"}' ;;
-	upstream-killed) plan "$NET.0.3:7102" '{"name":"kill","for_ms":1500}' && plan "$NET.0.3:7101" '{"name":"kill","for_ms":1500}' ;;
-	daemon-killed) kill_now entry-2 ;;
-	daemon-frozen)
-		kill -STOP "${PIDS[entry-3]}"
-		FROZEN=1
-		;;
-	*) fail "no such fault: $1" ;;
-	esac
+	local fault address
+	declare -gA PLANS=()
+	for fault in "$@"; do
+		case $fault in
+		table-down) add "$TABLE" '{"name":"down","after_ms":100,"for_ms":1500}' ;;
+		table-slow) add "$TABLE" '{"name":"slow","delay_ms":900,"for_ms":2000}' ;;
+		commit-lost) add "$TABLE" '{"name":"lost","share":0.3,"for_ms":2500}' ;;
+		objects-down) add "$OBJECTS" '{"name":"down","after_ms":100,"for_ms":1500}' ;;
+		upstream-refuses)
+			add "$NET.0.1:7102" '{"name":"refuse","share":0.5}'
+			add "$NET.0.1:7101" '{"name":"refuse","share":0.5}'
+			;;
+		upstream-silent)
+			add "$NET.0.2:7102" '{"name":"silent","share":0.3,"for_ms":2000}'
+			add "$NET.0.2:7101" '{"name":"blackhole"}'
+			;;
+		upstream-killed)
+			add "$NET.0.3:7102" '{"name":"kill","after_ms":100,"for_ms":1500}'
+			add "$NET.0.3:7101" '{"name":"kill","after_ms":100,"for_ms":1500}'
+			;;
+		daemon-killed) kill_now entry-2 ;;
+		daemon-frozen)
+			kill -STOP "${PIDS[entry-3]}"
+			FROZEN=1
+			;;
+		*) fail "no such fault: $fault" ;;
+		esac
+	done
+	for address in "${!PLANS[@]}"; do
+		"$BIN/lagoonstand" fault --address "$address" "{\"seed\":7,\"faults\":[${PLANS[$address]}]}" >/dev/null || fail "fault at $address"
+	done
 }
 
 # run FAULT[+FAULT] prints one row.
 run() {
-	local row=$1 i fault code=0 load
+	local row=$1 i code=0 load
 	FROZEN=0
 	start standins "$BIN/lagoonstand" serve --manifest "$WORK/manifest.json" --table "$TABLE" --objects "$OBJECTS"
 	for i in 1 2 3; do
@@ -87,9 +104,8 @@
 	start owed "$BIN/lagoonstand" owed --name "$row" --manifest "$WORK/manifest.json" --key "$KEY" --duration "$ARRIVALS" \
 		--daemon "$NET.1.1:7000" --daemon "$NET.1.2:7000" --daemon "$NET.1.3:7000"
 	sleep 1
-	for fault in ${row//+/ }; do
-		strike "$fault"
-	done
+	# shellcheck disable=SC2086 # the faults of a row are words
+	strike ${row//+/ }
 	if [ $FROZEN = 1 ]; then
 		sleep 2
 		kill -CONT "${PIDS[entry-3]}"
