--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= andrade
 LDFLAGS = -X github.com/lagoonmux/lagoonmux/internal/version.Version=$(VERSION)
 
-.PHONY: build test lint figures unit generate demo capacity model-check bench-routing
+.PHONY: build test lint figures unit generate demo capacity model-check bench-routing bench-control
 
 build: ## programs into bin/
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -39,3 +39,6 @@
 
 bench-routing: build ## routing policies side by side; QUICK=1 for under 3 minutes
 	@scripts/bench-routing.sh
+
+bench-control: build ## manifest, reclaims, failures and cost of control on 6 daemons; synthetic at 60 and 460
+	scripts/bench-control.sh
