--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -21,6 +21,7 @@
 	backoffUnit   = 5 * time.Millisecond
 	maxBackoff    = 400 * time.Millisecond
 	headerRefused = "Lagoonmux-Refused"
+	reasonLeaving = "leaving"
 )
 
 // attemptError is a failed attempt.
@@ -28,6 +29,7 @@
 	Peer       string        // name of the upstream
 	Ran        bool          // the upstream may have run the request
 	Refused    bool          // the upstream refused it by protocol
+	Leaving    bool          // it refused it because it leaves
 	Reused     bool          // on a connection that had been used before
 	RetryAfter time.Duration // that the upstream asks for; 0 for none
 	Err        error
@@ -64,6 +66,7 @@
 	}
 	ae.Ran = false
 	ae.Refused = true
+	ae.Leaving = string(reason) == reasonLeaving
 	ae.Err = errors.Errorf("refused: %s", reason)
 	seconds, err := strconv.Atoi(string(x.Response.Header.Peek(fasthttp.HeaderRetryAfter)))
 	if err == nil && seconds > 0 {
@@ -82,12 +85,16 @@
 	tried     []string // upstreams that need not be asked again
 	ran       bool     // some attempt may have run
 	last      *attemptError
+	leaving   func(upstream string) // told of a refusal because of leaving; may be nil
 }
 
 // record takes in a failed attempt. Progress tells whether it brought a part
 // of the answer.
 func (s *attempts) record(err *attemptError, progress bool) {
 	s.last = err
+	if err.Leaving && s.leaving != nil {
+		s.leaving(err.Peer)
+	}
 	s.ran = s.ran || err.Ran
 	if progress {
 		s.fruitless = 0
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,6 +34,7 @@
 	router    *routing.Router
 	canceller *canceller
 	stats     counters
+	leaving   func(upstream string) // may be nil
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -55,6 +56,10 @@
 	}
 }
 
+// OnLeaving calls f with each upstream that refuses a call because it leaves. It
+// must be called before the first call; f must not block.
+func (d *Dispatcher) OnLeaving(f func(upstream string)) { d.leaving = f }
+
 // service returns the state of a service and counts one request of it.
 func (d *Dispatcher) service(c *call.Call) *serviceState {
 	d.mu.Lock()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -173,11 +173,14 @@
 		ctx.Response.Header.Set("Lagoonmux-Refused", "leaving")
 		ctx.Response.Header.Set("Retry-After", "7")
 	})
+	leaving := map[string]bool{}
+	f.OnLeaving(func(upstream string) { leaving[upstream] = true })
 	c := f.call()
 	c.Repeatable = false
 	_, err := f.Plain(context.Background(), c)
 	var ce *call.Error
 	assert.Assert(t, errors.As(err, &ce), "%v", err)
+	assert.Equal(t, len(leaving), 2)
 	assert.Equal(t, ce.Outcome, call.NotRun)
 	assert.Equal(t, ce.RetryAfter, 7*time.Second)
 	assert.Assert(t, f.attempts.Load() > 2)
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -19,7 +19,7 @@
 // Plain runs a call of a plain service. The error is always a *call.Error.
 func (d *Dispatcher) Plain(ctx context.Context, c *call.Call) (*call.Reply, error) {
 	service := d.service(c)
-	s := &attempts{call: c, budget: service.budget}
+	s := &attempts{call: c, leaving: d.leaving, budget: service.budget}
 	req := request(c, nil)
 	for {
 		a, ok := d.begin(s, req)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -54,7 +54,7 @@
 
 // Resume is Stream for an answer of which a part is kept already.
 func (d *Dispatcher) Resume(ctx context.Context, c *call.Call, kept Kept, sink call.Sink) error {
-	s := &attempts{call: c, budget: d.service(c).budget, number: kept.Attempts}
+	s := &attempts{call: c, leaving: d.leaving, budget: d.service(c).budget, number: kept.Attempts}
 	ans := &answer{next: kept.Tokens}
 	ans.text.WriteString(kept.Text)
 	req := request(c, nil)
