Fleet: runners that are coming count from the order until they join

Cause: the list of VMs showed a started runner before the daemon's own view had it, and the planner counted it as neither starting nor running. Their price counts against the bound as well, and so does a start whose answer was lost. A stopping daemon waits 1 s by default for the balancer.

--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -41,6 +41,7 @@
 type group struct {
 	t       *testing.T
 	table   *outage
+	cloud   string // URL of the cloud API; empty for none
 	daemons []*member
 }
 
@@ -52,6 +53,7 @@
 
 func (g *group) start(name string) *member {
 	s := &settings.Settings{Name: name, Region: "r", Zone: "a", Caller: freeAddress(g.t), Operator: freeAddress(g.t), Peer: freeAddress(g.t)}
+	s.Platform.Cloud = g.cloud
 	for _, m := range g.daemons {
 		s.Peers = append(s.Peers, m.settings.Peer)
 	}
@@ -100,12 +102,17 @@
 
 func writeManifest(t *testing.T) string {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "manifest.json")
-	text := fmt.Sprintf(`{
+	return writeText(t, fmt.Sprintf(`{
 	"services": [{"name": "fortune", "kind": "model", "target": {"total_ms": 5000}}],
 	"upstreams": [{"name": "e1", "service": "fortune", "address": %q, "zone": "a", "vm_class": "g", "slots": 4}],
 	"customers": [{"name": "editors", "key": %q, "weight": 1, "requests_per_second": 9, "tokens_per_second": 900, "concurrency": 9}],
-	"vm_classes": [{"name": "g", "on_demand_per_hour": 2, "reclaimable_per_hour": 1}]}`, freeAddress(t), key)
+	"vm_classes": [{"name": "g", "on_demand_per_hour": 2, "reclaimable_per_hour": 1}]}`, freeAddress(t), key))
+}
+
+// writeText writes a manifest to a file and returns its path.
+func writeText(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "manifest.json")
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	return path
 }
--- a/internal/fleet/manager.go
+++ b/internal/fleet/manager.go
@@ -70,6 +70,7 @@
 // started is a VM that was started and is not listed yet.
 type started struct {
 	name, service string
+	offer         OfferKey
 	at            time.Time
 }
 
@@ -209,6 +210,7 @@
 		Bounds: *s.Active.Fleet, Classes: s.Active.VMClasses, Runners: s.Runners(t.Service),
 		Offers: offers, Refusals: m.refusals, Loads: int(m.loads),
 	}
+	m.addComing(in, vms)
 	for i := range in.Runners {
 		r := &in.Runners[i]
 		r.PerHour = priceOf(offers, OfferKey{r.VMClass, r.Zone, r.Reclaimable})
@@ -216,11 +218,6 @@
 			r.VM = vms[j].ID
 		}
 	}
-	for _, st := range m.starting {
-		if st.service == t.Service {
-			in.Starting++
-		}
-	}
 	if since := m.surplus[t.Service]; !since.IsZero() {
 		in.IdleFor = now.Sub(since)
 	}
@@ -232,6 +229,31 @@
 	return in
 }
 
+// addComing adds the runners that were started and have not joined yet, whether
+// the list of VMs shows them by now or not.
+func (m *Manager) addComing(in *Input, vms []cloud.VM) {
+	known := make(map[string]bool, len(in.Runners))
+	for i := range in.Runners {
+		known[in.Runners[i].Name] = true
+	}
+	add := func(name string, o OfferKey) {
+		if !known[name] {
+			known[name] = true
+			in.Runners = append(in.Runners, Runner{Name: name, Zone: o.Zone, VMClass: o.VMClass, Reclaimable: o.Reclaimable, Slots: in.Slots})
+		}
+	}
+	for i := range vms {
+		if vm := &vms[i]; vm.Service == in.Service && Owned(vm) && !vm.Leaving {
+			add(vm.Name, OfferKey{vm.VMClass, vm.Zone, vm.Reclaimable})
+		}
+	}
+	for _, s := range m.starting {
+		if s.service == in.Service {
+			add(s.name, s.offer)
+		}
+	}
+}
+
 // fillLoads counts the loads of weights that the store's rate limit allows.
 func (m *Manager) fillLoads(now time.Time, perSecond float64) {
 	if m.filledAt.IsZero() {
@@ -278,12 +300,13 @@
 		m.log.Warn("start refused", "service", t.Service, "vm_class", o.VMClass, "zone", o.Zone, "reclaimable", o.Reclaimable)
 		return nil
 	}
+	// After any other error the VM may have been started.
+	m.starting = append(m.starting, started{name: name, service: t.Service, offer: o, at: now})
+	m.loads--
 	if err != nil {
 		return err
 	}
-	m.loads--
 	m.refusals = Granted(m.refusals, o)
-	m.starting = append(m.starting, started{name: name, service: t.Service, at: now})
 	return m.want(ctx, name, loadTarget(t, vm.Address))
 }
 
--- a/internal/fleet/manager_test.go
+++ b/internal/fleet/manager_test.go
@@ -173,3 +173,36 @@
 	assert.ErrorIs(t, err, ErrNotHolder)
 	assert.Equal(t, len(w.stopped), 0)
 }
+
+// TestWaveIsMadeUpForOnceStartsAreGranted reclaims two thirds of the runners at
+// once while every start is refused, and lets the holder die in the middle.
+func TestWaveIsMadeUpForOnceStartsAreGranted(t *testing.T) {
+	w := newWorld(t, true)
+	first, second := w.manager("first"), w.manager("second")
+	assert.NilError(t, w.run(first, "v1", time.Minute))
+	n := len(w.vms)
+	w.vms = w.vms[:n/3]
+	attempts := 0
+	w.refuse = func(cloud.Start) bool { attempts++; return true }
+	_ = w.run(first, "v1", 20*time.Second)
+	_ = w.run(second, "v1", 5*time.Minute)
+	assert.Assert(t, attempts > 0 && attempts < 200, "%d starts were tried", attempts) // back-off
+	assert.Equal(t, len(w.vms), n/3)
+	w.refuse = func(cloud.Start) bool { return false }
+	assert.NilError(t, w.run(second, "v1", 11*time.Minute))
+	assert.Equal(t, len(w.vms), n)
+}
+
+// TestListedRunnerThatHasNotJoinedYetIsCounted keeps started runners out of the
+// daemon's own view for a while after the list of VMs shows them.
+func TestListedRunnerThatHasNotJoinedYetIsCounted(t *testing.T) {
+	w := newWorld(t, true)
+	m := w.manager("d1")
+	s := w.state("v1")
+	s.Runners = func(string) []Runner { return nil }
+	for range 60 {
+		w.now = w.now.Add(time.Second)
+		assert.NilError(t, m.Step(t.Context(), w.now, s))
+	}
+	assert.Equal(t, len(w.vms), 3) // the floor of two and one for the loss of a zone
+}
--- a/internal/fleet/plan.go
+++ b/internal/fleet/plan.go
@@ -58,7 +58,6 @@
 	Bounds       manifest.Fleet     `json:"bounds"`
 	Classes      []manifest.VMClass `json:"classes"`
 	Runners      []Runner           `json:"runners"`
-	Starting     int                `json:"starting"` // started VMs that are not listed yet
 	Offers       []cloud.Offer      `json:"offers"`
 	Refusals     []Refusal          `json:"refusals"`
 	Loads        int                `json:"loads"`          // of weights that the store's rate limit allows now
@@ -76,7 +75,7 @@
 // Decision is the planner's answer.
 type Decision struct {
 	Needed  int      `json:"needed"`  // runners for the load and the floor
-	Usable  int      `json:"usable"`  // runners that take work, with those starting
+	Usable  int      `json:"usable"`  // runners that take work or are starting
 	Surplus bool     `json:"surplus"` // the fleet is larger than it needs
 	Actions []Action `json:"actions"`
 }
@@ -90,7 +89,7 @@
 			p.usable = append(p.usable, in.Runners[i])
 		}
 	}
-	d := Decision{Needed: p.needed(), Usable: len(p.usable) + in.Starting}
+	d := Decision{Needed: p.needed(), Usable: len(p.usable)}
 	d.Surplus = d.Usable > d.Needed
 	switch {
 	case d.Usable < d.Needed:
@@ -119,11 +118,8 @@
 	if n > 0 {
 		perRunner = float64(slots) / float64(n)
 	}
-	switch share := busy / math.Max(1, float64(slots)); {
-	case n == 0 || share > targetBusy || share < shrinkBusy:
+	if share := busy / math.Max(1, float64(slots)); n == 0 || share > targetBusy || share < shrinkBusy {
 		n = int(math.Ceil(busy / (perRunner * targetBusy)))
-	default:
-		n += p.in.Starting
 	}
 	return min(max(n, p.in.Floor, p.floorWithoutLargestZone()), p.in.Bounds.MaxUpstreams)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,6 +48,8 @@
 	Authorities string `json:"authorities" validate:"required,file"` // PEM bundle that peers must chain to
 }
 
+const defaultDrainWaitMS = 1000
+
 // Load reads and validates the settings in the named file. Errors of the text
 // are jsonc.Errors with line, field and rule.
 func Load(path string) (*Settings, error) {
@@ -69,5 +71,8 @@
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
+	if s.DrainWaitMS == 0 {
+		s.DrainWaitMS = defaultDrainWaitMS
+	}
 	return s, nil
 }
