--- a/scripts/bench-control.sh
+++ b/scripts/bench-control.sh
@@ -107,16 +107,22 @@
 	spread "idle_daemon_rss_mb_at_6" "${sizes[@]}"
 }
 
-# paused stops entry-3 for so many seconds and counts who was declared dead.
+# deaths LOG... prints how many daemons were declared dead.
+deaths() { cat "$@" | grep -c "kind=0 .*state=dead" || true; }
+
+# paused stops entry-3 for so many seconds and counts who was declared dead, by
+# all and by the paused one.
 paused() {
-	local before after
-	before=$(grep -c "kind=0 .*state=dead" "$WORK"/entry-*.log | awk -F: '{s += $2} END {print s}')
+	local before mine after
+	before=$(deaths "$WORK"/entry-*.log)
+	mine=$(deaths "$WORK/entry-3.log")
 	kill -STOP "${PIDS[entry-3]}"
 	sleep "$1"
 	kill -CONT "${PIDS[entry-3]}"
 	"$BIN/lagoonstand" await "${ALL[@]}" members=6 >"$WORK/back" || fail "entry-3 is not back after a pause"
-	after=$(grep -c "kind=0 .*state=dead" "$WORK"/entry-*.log | awk -F: '{s += $2} END {print s}')
-	echo "paused_daemon seconds=$1 declared_dead=$((after - before)) by_the_paused_one=$(grep -c "kind=0 .*state=dead" "$WORK/entry-3.log" || true) all_live_again_ms=$(cat "$WORK/back")"
+	sleep 5
+	after=$(deaths "$WORK"/entry-*.log)
+	echo "paused_daemon seconds=$1 declared_dead=$((after - before)) by_the_paused_one=$(($(deaths "$WORK/entry-3.log") - mine)) all_live_again_ms=$(cat "$WORK/back")"
 }
 
 [ "$PART" = synthetic ] || real
