A new generation is told to three peers at once

Cause: a manifest that came into force was passed on with the next round only, up to 500 ms later, and by whom it reached with the round after.

--- a/internal/members/group.go
+++ b/internal/members/group.go
@@ -111,9 +111,9 @@
 	next := *g.self
 	f(&next)
 	next.Version++
+	g.urgent = g.urgent || next.State != Live || next.Generation != g.self.Generation
 	g.self = &next
 	g.put(&next, now)
-	g.urgent = g.urgent || next.State != Live
 }
 
 // Set merges a record that this daemon made itself, such as a topic's value or
