--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -98,13 +98,18 @@
 	timers []*time.Timer
 	conns  map[*conn]struct{}
 
-	// The last whole answer, for Crossed.
-	lastBody []byte
-	lastID   []byte
+	last       answer // without the id of its request
+	lastWithID answer
 
 	leaving leaving
 }
 
+// answer is a whole answer, kept for Crossed.
+type answer struct {
+	body []byte
+	id   []byte // of its request
+}
+
 // New returns a set without faults.
 func New() *Set {
 	return &Set{hooks: make(map[Name][]func(Fault)), conns: make(map[*conn]struct{})}
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Plays a deployment's callers once for each fault of the upstreams, against
-# three daemons, and prints one line of verdicts for each. Exits with 1 if an
-# answer was wrong, crossed, doubled or not as it was told under any of them.
-# Requests that end as not-run or unknown are counted, and judge nothing.
+# Plays a deployment's callers once for each fault, against three daemons, and
+# prints one line of verdicts for each. Exits with 1 if an answer was wrong,
+# crossed, doubled or not as it was told under any of them. Requests that end
+# as not-run, unknown or cut are counted, and judge nothing.
 #
 # usage: scripts/faults.sh andrade|neon [SECONDS [FAULT...]]
 set -euo pipefail
@@ -23,10 +23,10 @@
 esac
 
 # Each fault begins after one second, so that streams are open when it strikes.
-declare -A PLANS=(
-	[none]='{}'
+# With a share it strikes every upstream, otherwise all of $ZONE.
+declare -A UPSTREAMS=(
 	[down]='{"name":"down","for_ms":3000}'
-	[drop]='{"name":"down","share":0.1,"path":"/"}'
+	[drop]='{"name":"down","share":0.1}'
 	[slow]='{"name":"slow","share":0.2,"delay_ms":700}'
 	[silent]='{"name":"silent","share":0.1}'
 	[refuse]='{"name":"refuse","share":0.3}'
@@ -42,47 +42,84 @@
 	[leave-bare]='{"name":"leave","delay_ms":3000,"bare":true}'
 	[kill]='{"name":"kill","for_ms":3000}'
 )
-ORDER=(none down drop slow silent refuse refuse-bare lost late cut crossed ignore blackhole restart leave leave-bare kill)
+# At the table service.
+declare -A TABLE=(
+	[table-down]='{"name":"down","for_ms":3000}'
+	[table-slow]='{"name":"slow","delay_ms":300}'
+	[table-lost]='{"name":"lost","share":0.2}'
+	[table-silent]='{"name":"silent","share":0.1}'
+	[table-blackhole]='{"name":"blackhole"}'
+)
+ORDER=(none down drop slow silent refuse refuse-bare lost late cut crossed ignore blackhole restart leave leave-bare kill
+	table-down table-slow table-lost table-silent table-blackhole daemon-kill daemon-pause)
 [ $# -gt 0 ] && ORDER=("$@")
 
 begin "demo-$DEPLOYMENT" # the same addresses
 CALLERS=()
+LISTED=()
 for i in 1 3 5; do
 	CALLERS+=(--daemon "$NET.1.$i:7000")
+	LISTED+=(--settings "$DIR/entry-$i.json")
 done
 
-run() {
-	local fault=$1 plan=${PLANS[$1]} i
-	[ "$plan" = '{}' ] || plan="{\"seed\":1,\"faults\":[${plan%\}},\"after_ms\":1000}]}"
-	start standins "$BIN/lagoonstand" serve --manifest "$MANIFEST" --profile "$DIR/profile.json" \
-		--table "$NET.0.1:7201" --objects "$NET.0.1:7202" --control "$NET.0.1:7200"
+start_all() {
+	local i
+	start standins "$BIN/lagoonstand" serve --manifest "$MANIFEST" --profile "$DIR/profile.json" "${LISTED[@]}" \
+		--table "$NET.0.1:7201" --objects "$NET.0.1:7202" --cloud "$NET.0.1:7203" --control "$NET.0.1:7200"
+	"$BIN/lagoonstand" wait "http://$NET.0.1:7203/vms" || fail "the stand-ins did not start"
 	for i in 1 3 5; do
 		start "entry-$i" "$BIN/lagoonmux" --settings "$DIR/entry-$i.json"
 		"$BIN/lagoonstand" wait "http://$NET.1.$i:7000/healthz" || fail "entry-$i did not start"
 	done
-	apply_manifest
-	# Half of the faults strike a zone at once, the drawn ones strike everywhere.
-	local where=(--zone "$ZONE")
-	[[ $plan == *share* ]] && where=()
-	"$BIN/lagoonstand" fault --manifest "$MANIFEST" "${where[@]}" "$plan" >/dev/null || fail "fault $fault"
-	local code=0
-	"$BIN/lagoonstand" load --mix "$DIR/mix.json" "${CALLERS[@]}" --manifest "$MANIFEST" --control "$NET.0.1:7200" \
-		--duration "${LENGTH}s" >"$WORK/load.log" 2>/dev/null 9>&- || code=$?
-	printf '%-12s %s\n' "$fault" "$(grep '^summary' "$WORK/load.log" || echo 'no report')"
-	grep '^sample verdict=\(wrong\|crossed\)' "$WORK/load.log" || true
+	"$BIN/lagoonctl" --address "$NET.1.1:7001" apply "$MANIFEST" >/dev/null || fail apply
 	for i in 1 3 5; do
-		stop "entry-$i" || fail "entry-$i did not shut down cleanly under $fault"
+		"$BIN/lagoonstand" wait "http://$NET.1.$i:7000/readyz" || fail "entry-$i is not ready"
 	done
-	stop standins || true
-	return $code
 }
 
-apply_manifest() {
-	local i
-	"$BIN/lagoonctl" --address "$NET.1.1:7001" apply "$MANIFEST" >/dev/null || fail apply
+# plan FAULT wraps a fault for POST /faults.
+plan() { echo "{\"seed\":1,\"faults\":[${1%\}},\"after_ms\":1000}]}"; }
+
+# strike FAULT switches the fault on.
+strike() {
+	local fault=$1 where=(--zone "$ZONE")
+	if [ -n "${UPSTREAMS[$fault]:-}" ]; then
+		[[ ${UPSTREAMS[$fault]} == *share* ]] && where=()
+		"$BIN/lagoonstand" fault --manifest "$MANIFEST" "${where[@]}" "$(plan "${UPSTREAMS[$fault]}")" >/dev/null
+	elif [ -n "${TABLE[$fault]:-}" ]; then
+		"$BIN/lagoonstand" fault --address "$NET.0.1:7201" "$(plan "${TABLE[$fault]}")"
+	fi
+}
+
+# harm FAULT does to a daemon what a fault of a process is.
+harm() {
+	sleep 1
+	case $1 in
+	daemon-kill) kill_now entry-3 ;;
+	daemon-pause)
+		kill -STOP "${PIDS[entry-3]}"
+		sleep 2
+		kill -CONT "${PIDS[entry-3]}"
+		;;
+	esac
+}
+
+run() {
+	local fault=$1 i code=0
+	start_all
+	strike "$fault" || fail "fault $fault"
+	start load "$BIN/lagoonstand" load --mix "$DIR/mix.json" "${CALLERS[@]}" --manifest "$MANIFEST" \
+		--control "$NET.0.1:7200" --duration "${LENGTH}s"
+	harm "$fault"
+	await load || code=$?
+	printf '%-15s %s\n' "$fault" "$(grep '^summary' "$WORK/load.log" || tail -n 1 "$WORK/load.log")"
+	grep '^after_notice' "$WORK/load.log" || true
+	grep '^sample' "$WORK/load.log" | head -n 3 | cut -c 1-260 || true
 	for i in 1 3 5; do
-		"$BIN/lagoonstand" wait "http://$NET.1.$i:7000/readyz" || fail "entry-$i is not ready"
+		stop "entry-$i" || fail "entry-$i did not shut down cleanly under $fault"
 	done
+	stop standins || true
+	return $code
 }
 
 BAD=()
