--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -64,14 +64,15 @@
 order() { ask "$CALL/svc/orders/orders" --header "Idempotency-Key: $1" --data '{"tins":2}'; }
 fault() { show "$BIN/lagoonstand" fault "$@"; }
 calm() { "$BIN/lagoonstand" fault --manifest "$WORK/manifest.json" '{}' >/dev/null 2>&1 || true; }
-seen() { tail -n "+$((MARK + 1))" "$WORK/entry-1.log" | grep -vE 'event=answered|cloud API' | tail -n "${1:-6}" || true; }
+seen() { tail -n "+$((MARK + 1))" "$WORK/entry-1.log" | grep -v 'event=answered' | tail -n "${1:-6}" || true; }
 mark() { MARK=$(wc -l <"$WORK/entry-1.log"); }
 
 begin failures
 manifest 1 >"$WORK/manifest.json"
 settings entry-1 sierra-a "$NET.1" >"$WORK/entry-1.json"
 settings entry-2 sierra-b "$NET.2" >"$WORK/entry-2.json"
-start standins "$BIN/lagoonstand" serve --manifest "$WORK/manifest.json" --table "$TABLE" --objects "$NET.9:7202"
+start standins "$BIN/lagoonstand" serve --manifest "$WORK/manifest.json" --table "$TABLE" --objects "$NET.9:7202" --cloud "$NET.9:7203" \
+	--settings "$WORK/entry-1.json" --settings "$WORK/entry-2.json"
 start entry-1 "$BIN/lagoonmux" --settings "$WORK/entry-1.json"
 start entry-2 "$BIN/lagoonmux" --settings "$WORK/entry-2.json"
 "$BIN/lagoonstand" wait "$CALL/healthz" || fail "entry-1 did not start"
@@ -133,11 +134,17 @@
 fault --address "$TABLE" '{"faults":[{"name":"down","for_ms":4000}]}'
 order down-1
 stream
-show "${CTL[@]}" status
+show "${CTL[@]}" apply "$WORK/manifest.json"
 seen
-sleep 4
+sleep 5
 order down-1
 
+section "Effect of a write is unknown"
+fault --address "$TABLE" '{"faults":[{"name":"lost","count":1}]}'
+order settled-1
+show "${CTL[@]}" explain "$ID"
+fault --address "$TABLE" '{}'
+
 section "Operators race"
 manifest 2 >"$WORK/two.json"
 manifest 3 >"$WORK/three.json"
