Tests listen at addresses that no outgoing connection can take

Cause: TestStoppedDaemonLeavesInOrder failed once in a run of all packages: 'listen for operators at 127.0.0.1:34759: bind: address already in use'. The test chose a free port of the ephemeral range, closed it, and an outgoing connection of another test took it before the daemon listened.

Package loopback gives each process addresses on hosts of its own; outgoing connections leave from 127.0.0.1.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -20,6 +19,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/completion"
 	"github.com/lagoonmux/lagoonmux/internal/ctl"
 	"github.com/lagoonmux/lagoonmux/internal/daemon"
+	"github.com/lagoonmux/lagoonmux/internal/loopback"
 	"github.com/lagoonmux/lagoonmux/internal/operator"
 	"github.com/lagoonmux/lagoonmux/internal/platform"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
@@ -28,13 +28,11 @@
 
 const key = "test-editors-key"
 
-// freeAddress returns a loopback address that was free a moment ago.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // start runs one daemon with one engine and one plain service and returns its
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/loopback"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/obs"
 )
@@ -105,10 +106,9 @@
 	f.registry = obs.NewRegistry(hclog.NewNullLogger(), time.Now())
 	api := NewAPI(&current, f.fake, f.registry, func() bool { return !draining.Load() })
 	f.server = NewServer(api, hclog.NewNullLogger(), limits)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	assert.NilError(t, err)
-	f.address = l.Addr().String()
-	assert.NilError(t, l.Close())
+	f.address = address
 	done := make(chan error, 1)
 	go func() { done <- f.server.Run(f.address) }()
 	<-f.server.booted
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
 	"github.com/lagoonmux/lagoonmux/internal/ctl"
+	"github.com/lagoonmux/lagoonmux/internal/loopback"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/obs"
 	"github.com/lagoonmux/lagoonmux/internal/operator"
@@ -46,13 +47,16 @@
 	return control{g}
 }
 
-// listen starts the operator port and returns its address.
-func listen(t *testing.T, tls *settings.TLS) string {
+func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	assert.NilError(t, err)
-	address := l.Addr().String()
-	assert.NilError(t, l.Close())
+	return address
+}
+
+// listen starts the operator port at address.
+func listen(t *testing.T, address string, tls *settings.TLS) {
+	t.Helper()
 	s := operator.NewServer(newControl(), tls)
 	done := make(chan error, 1)
 	go func() { done <- s.Run(address) }()
@@ -68,12 +72,13 @@
 		_ = c.Close()
 		return poll.Success()
 	}, poll.WithDelay(5*time.Millisecond))
-	return address
 }
 
 func TestCommandsShowWhatADaemonSaw(t *testing.T) {
 	var out bytes.Buffer
-	client := ctl.New(listen(t, nil), &out)
+	address := freeAddress(t)
+	listen(t, address, nil)
+	client := ctl.New(address, &out)
 	assert.NilError(t, client.Status(false))
 	assert.Assert(t, strings.Contains(out.String(), "entry-1"), out.String())
 	out.Reset()
@@ -87,8 +92,9 @@
 }
 
 func TestOperatorsNeedACertificate(t *testing.T) {
-	ours, others := certificate(t), certificate(t)
-	address := listen(t, ours)
+	address := freeAddress(t)
+	ours, others := certificate(t, address), certificate(t, address)
+	listen(t, address, ours)
 	assert.Equal(t, ctl.ExitCode(ctl.New(address, &bytes.Buffer{}).Status(false)), ctl.ExitReach)
 	for _, tt := range []struct {
 		tls *settings.TLS
@@ -105,14 +111,17 @@
 	}
 }
 
-// certificate writes a certificate for 127.0.0.1 that is its own authority.
-func certificate(t *testing.T) *settings.TLS {
+// certificate writes a certificate for the address's host that is its own
+// authority.
+func certificate(t *testing.T, address string) *settings.TLS {
 	t.Helper()
+	host, _, err := net.SplitHostPort(address)
+	assert.NilError(t, err)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	assert.NilError(t, err)
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true,
-		NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.ParseIP(host)},
 		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
