Routing: equal prefixes stay where all daemons look for them

A new prefix was computed at whichever upstream was idle, since the charge for delaying others was nought there, and the other daemons could not know where; three engines out of twelve then held it and evicted others.

Changes: the charge takes the requests that an upstream has on average instead of those at that very upstream; computing away from the winners of the rendezvous counts twice, and those are drawn at the shallowest depth that not all upstreams hold; slowness and probes are relative to what is usual for the service.

--- a/cmd/lagoonstand/bench_routing.go
+++ b/cmd/lagoonstand/bench_routing.go
@@ -40,7 +40,7 @@
 }
 
 // ablationScenarios are those under which each term of the score is removed.
-var ablationScenarios = []string{"speeds", "overload", "stale", "slow-one"}
+var ablationScenarios = []string{"speeds", "overload", "stale"}
 
 func benchRouting(b *bench.Bench, mixes, parts, only []string, plots string) error {
 	var rows []bench.Row
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -88,7 +88,7 @@
 		a.router.stats.cached.Add(int64(cached))
 		x.learnTrust(a.cached, cached)
 	}
-	x.observeStart(t, milliseconds(t-a.began), expected)
+	x.observeStart(t, milliseconds(t-a.began), expected, &a.shared.usual)
 	for _, b := range a.blocks {
 		a.router.prefixes.store(b, x)
 	}
@@ -116,7 +116,7 @@
 	x.note(t)
 	took := milliseconds(t - a.began)
 	if !a.started && a.prompt == 0 && result == Succeeded {
-		x.observeStart(t, took, a.expected)
+		x.observeStart(t, took, a.expected, &a.shared.usual)
 	}
 	x.observeEnd(t, took, result)
 	if result == Failed {
--- a/internal/routing/capacity.go
+++ b/internal/routing/capacity.go
@@ -30,15 +30,15 @@
 // counts only with what it has, and a failing one by its successes.
 func (s *snapshot) capacity(now int64) (slots, free int) {
 	longest := shortQueueMS
-	if s.targetM > 0 {
-		longest = s.targetM * shortQueuePart
+	if s.targetMS > 0 {
+		longest = s.targetMS * shortQueuePart
 	}
 	sum, unused := 0.0, 0.0
 	for i := range s.nodes {
 		n := &s.nodes[i]
 		tokens, requests := s.estimate(n, now, true)
 		room := n.slots * (1 - n.failuresAt(now))
-		if tokens*n.slownessAt(now)/n.speed > longest {
+		if tokens*n.slownessAt(now, s.shared.usual.load())/n.speed > longest {
 			room = min(room, requests)
 		}
 		sum += room
--- a/internal/routing/estimate.go
+++ b/internal/routing/estimate.go
@@ -5,6 +5,7 @@
 const (
 	tokensMemoryMS   = 200.0  // after which a reported prefill queue says half as much
 	requestsMemoryMS = 1000.0 // the same for the requests in the batch
+	herdShare        = 0.75   // of what this daemon has sent since a report, that each peer is taken to have sent too
 )
 
 // estimate returns the prompt tokens waiting and the requests at the upstream.
@@ -17,7 +18,7 @@
 func (s *snapshot) estimate(n *node, now int64, herd bool) (tokens, requests float64) {
 	ownTokens, ownRequests := float64(n.pending.Load()), float64(n.inFlight.Load())
 	others := s.peers - 1
-	part := others * n.slots / max(s.shared.slots(), 1)
+	part := others * s.part(n)
 	usualTokens := float64(s.shared.pending.Load()) * part
 	usualRequests := float64(s.shared.inFlight.Load()) * part
 	l := n.load.Load()
@@ -28,8 +29,8 @@
 	tokens = revert(max(float64(l.WaitingTokens-int(l.pendingThen)), 0), usualTokens, ageMS/tokensMemoryMS)
 	requests = revert(max(float64(l.Running+l.Waiting-int(l.ownThen)), 0), usualRequests, ageMS/requestsMemoryMS)
 	if herd {
-		tokens += max(ownTokens-float64(l.pendingThen), 0) * others
-		requests += max(ownRequests-float64(l.ownThen), 0) * others
+		tokens += max(ownTokens-float64(l.pendingThen), 0) * others * herdShare
+		requests += max(ownRequests-float64(l.ownThen), 0) * others * herdShare
 	}
 	return ownTokens + tokens, ownRequests + requests
 }
@@ -38,3 +39,12 @@
 func revert(reported, usual, age float64) float64 {
 	return usual + (reported-usual)/(1+age)
 }
+
+// part returns the part of the service's slots that are the node's.
+func (s *snapshot) part(n *node) float64 { return n.slots / max(s.shared.slots(), 1) }
+
+// usualRequests returns the requests of all daemons that a node of this size
+// has on average.
+func (s *snapshot) usualRequests(n *node) float64 {
+	return float64(s.shared.inFlight.Load()) * s.peers * s.part(n)
+}
--- a/internal/routing/expected.go
+++ b/internal/routing/expected.go
@@ -10,8 +10,7 @@
 	blockTokens   = 16
 	firstDepth    = 4 // blocks of the shortest prefix whose rendezvous are candidates; each next is four times as deep
 	maxCandidates = 24
-	samples       = 3 // candidates taken at random
-	boundedLoad   = 1.25
+	samples       = 2 // candidates taken at random
 	failureCostMS = 500.0
 	maxFailures   = 0.95
 	coldShare     = 1.0  // part of the expected time added for each attempt in flight at an upstream without evidence
@@ -19,8 +18,9 @@
 	overrunCost   = 4.0  // for a millisecond past the deadline or target
 	lotPriceShare = 0.5  // of the computing time, for a price twice the cheapest
 	priceShare    = 0.1
-	othersDelay   = 1.0 // weight of the delay that computing a prompt brings to each other request there
+	othersDelay   = 1.0 // weight of the delay that computing a prompt brings to each other request
 	maxDearness   = 4.0
+	strayWeight   = 1.0 // of computing a prefix where no other daemon looks for it
 	slotWait      = 0.3 // of the time between two requests that end, for each request beyond the slots
 )
 
@@ -37,11 +37,12 @@
 	TermFailure                   // recent failures
 	TermCold                      // upstreams without evidence
 	TermKV                        // pressure on KV memory
-	TermBound                     // bounded load
 	TermPrice                     // price and reclaim risk
 	TermLate                      // cost of missing deadline or target
 	TermSample                    // candidates taken at random
 	TermOthers                    // delay of the other requests at the upstream
+	TermEvents                    // cache events
+	TermHome                      // computing a prefix where other daemons look for it
 	AllTerms    = 1<<iota - 1
 )
 
@@ -56,7 +57,8 @@
 // candidate is an upstream under consideration.
 type candidate struct {
 	index  int32
-	blocks int // leading blocks believed cached
+	blocks int  // leading blocks believed cached
+	home   bool // a winner of the rendezvous, where all daemons look for the prefix
 }
 
 // candidates is a small set on the stack of one pick.
@@ -65,15 +67,16 @@
 	n    int
 }
 
-func (c *candidates) add(index int32, blocks int) {
+func (c *candidates) add(index int32, blocks int, home bool) {
 	for i := range c.list[:c.n] {
-		if c.list[i].index == index {
-			c.list[i].blocks = max(c.list[i].blocks, blocks)
+		if x := &c.list[i]; x.index == index {
+			x.blocks = max(x.blocks, blocks)
+			x.home = x.home || home
 			return
 		}
 	}
 	if c.n < maxCandidates {
-		c.list[c.n] = candidate{index: index, blocks: blocks}
+		c.list[c.n] = candidate{index: index, blocks: blocks, home: home}
 		c.n++
 	}
 }
@@ -86,7 +89,7 @@
 	common := 0
 	if len(r.Blocks) > 0 {
 		common = p.addHolders(&set, r.Blocks)
-		p.addWinners(&set, r.Blocks)
+		p.addWinners(&set, r.Blocks, common)
 	}
 	p.addSamples(&set, r)
 	best := p.best(&set, now, r, common)
@@ -130,18 +133,24 @@
 			continue
 		}
 		holders++
-		set.add(index, depth)
+		set.add(index, depth, false)
 	}
 	return holders
 }
 
-// addWinners adds the rendezvous of the prefix at a few depths.
-func (p *expected) addWinners(set *candidates, blocks []uint64) {
+// addWinners adds the rendezvous of the prefix at a few depths. The shallowest
+// beyond what all upstreams hold is where other daemons look for the prefix.
+func (p *expected) addWinners(set *candidates, blocks []uint64, common int) {
+	home := true
 	for depth := firstDepth; ; depth *= 4 {
 		depth = min(depth, len(blocks))
+		if depth <= common && depth < len(blocks) {
+			continue
+		}
 		for _, i := range p.winners(blocks[depth-1]) {
-			set.add(i, 0)
+			set.add(i, 0, home)
 		}
+		home = false
 		if depth == len(blocks) {
 			return
 		}
@@ -159,16 +168,14 @@
 	x := r.Random
 	for range count {
 		x = mix(x + 0x9e3779b97f4a7c15)
-		set.add(int32(x%uint64(len(p.nodes))), 0)
+		set.add(int32(x%uint64(len(p.nodes))), 0, false)
 	}
 }
 
-// best returns the candidate of the least score, with preference for those
-// within the load bound.
+// best returns the candidate of the least score, or one that is due for a probe.
 func (p *expected) best(set *candidates, now int64, r *Request, common int) choice {
 	var best choice
 	var least float64
-	bound := p.loadBound()
 	for i := range set.list[:set.n] {
 		c := &set.list[i]
 		n := &p.nodes[c.index]
@@ -176,11 +183,11 @@
 			continue
 		}
 		ch, score := p.score(n, now, r, max(c.blocks, common))
-		if r.Class != manifest.Urgent && n.takeProbe(now, p.peers) {
-			return ch
+		if p.terms&TermHome != 0 && !c.home {
+			score += strayWeight * float64(r.PromptTokens-ch.cached) / n.speed
 		}
-		if p.terms&TermBound != 0 && float64(n.inFlight.Load()) > bound*n.slots+1 {
-			score += p.boundCost()
+		if r.Class != manifest.Urgent && n.takeProbe(now, p.shared.usual.load(), p.peers) {
+			return ch
 		}
 		if best.node == nil || score < least {
 			best, least = ch, score
@@ -189,19 +196,6 @@
 	return best
 }
 
-// loadBound returns the attempts in flight for each slot above which an
-// upstream is avoided.
-func (p *expected) loadBound() float64 {
-	return boundedLoad * float64(p.shared.inFlight.Load()) / max(p.shared.slots(), 1)
-}
-
-func (p *expected) boundCost() float64 {
-	if p.targetM > 0 {
-		return p.targetM
-	}
-	return failureCostMS
-}
-
 // fallback looks at every upstream; it serves calls that tried all candidates.
 func (p *expected) fallback(now int64, r *Request, common int) choice {
 	var best choice
@@ -227,12 +221,14 @@
 	compute := float64(r.PromptTokens-ch.cached) / n.speed
 	queue := p.queueMS(n, now, r.Class)
 	ch.expectedMS = compute + queue
-	total := compute + queue
-	if p.terms&TermOthers != 0 {
-		total += compute * othersDelay * float64(n.inFlight.Load()) * p.peerFactor()
-	}
+	total := ch.expectedMS
+	slowness := 1.0
 	if p.terms&TermSpeed != 0 {
-		total = (total + slownessFloorMS) * n.slownessAt(now)
+		slowness = n.slownessAt(now, p.shared.usual.load())
+		total = (total + slownessFloorMS) * slowness
+	}
+	if p.terms&TermOthers != 0 {
+		total += compute * slowness * othersDelay * p.usualRequests(n)
 	}
 	if p.terms&TermCold != 0 {
 		total *= 1 + coldShare*float64(n.inFlight.Load())/float64(1+n.proven.Load())
@@ -269,14 +265,6 @@
 	return wait
 }
 
-// peerFactor returns the requests of all daemons for each of this daemon's.
-func (p *expected) peerFactor() float64 {
-	if p.terms&TermPeers == 0 {
-		return 1
-	}
-	return p.peers
-}
-
 // kvMS is the cost of evicting or preempting for a request that does not fit.
 func kvMS(n *node, r *Request) float64 {
 	l := n.load.Load()
@@ -290,8 +278,8 @@
 // lateMS is the cost of the time beyond the deadline and the target.
 func (p *expected) lateMS(total float64, now int64, r *Request) float64 {
 	late := 0.0
-	if p.targetM > 0 && r.Class != manifest.Lot {
-		late = max(total-p.targetM, 0)
+	if p.targetMS > 0 && r.Class != manifest.Lot {
+		late = max(total-p.targetMS, 0)
 	}
 	if !r.Deadline.IsZero() {
 		left := float64(p.shared.clock.of(r.Deadline)-now) / float64(time.Millisecond)
@@ -321,8 +309,8 @@
 func TermNames() []NamedTerm {
 	return []NamedTerm{
 		{"cache", TermCache}, {"queue", TermQueue}, {"peers", TermPeers}, {"speed", TermSpeed},
-		{"failure", TermFailure}, {"cold", TermCold}, {"kv", TermKV}, {"bound", TermBound},
+		{"failure", TermFailure}, {"cold", TermCold}, {"kv", TermKV},
 		{"price", TermPrice}, {"late", TermLate}, {"sample", TermSample},
-		{"others", TermOthers},
+		{"others", TermOthers}, {"events", TermEvents}, {"home", TermHome},
 	}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -31,6 +31,7 @@
 	inFlight atomic.Int64  // attempts of this daemon
 	pending  atomic.Int64  // its prompt tokens that have no first token yet
 	total    atomicFloat   // slots of the newest snapshot
+	usual    atomicFloat   // slowness of its upstreams on average
 	clock    *clock
 }
 
@@ -57,7 +58,7 @@
 	active  *manifest.Active
 	members []Member
 	peers   float64
-	freeIDs []uint16
+	freeIDs []runnerID
 	nextID  uint16
 }
 
@@ -109,6 +110,7 @@
 		shared := old.shared[s.Name]
 		if shared == nil {
 			shared = &serviceState{clock: &r.clock}
+			shared.usual.store(1)
 		}
 		next.shared[s.Name] = shared
 		v := newSnapshot(r.active, s, nodes[s.Name], int(r.nextID)+1, shared)
@@ -130,23 +132,21 @@
 	}
 	for name, x := range old {
 		if kept[name] == nil {
-			r.freeIDs = append(r.freeIDs, x.id)
+			r.freeIDs = append(r.freeIDs, runnerID{x.id, x.generation.Load() + 1})
 		}
 	}
 	return kept
 }
 
-// newID returns an id that no member has. Entries of the prefix map under a
-// reused id are wrong until they are replaced; cached tokens reported by the
-// upstream correct the estimate.
-func (r *Router) newID() uint16 {
+// newID returns an id that no member has.
+func (r *Router) newID() runnerID {
 	if len(r.freeIDs) > 0 {
 		id := r.freeIDs[0]
 		r.freeIDs = r.freeIDs[1:]
 		return id
 	}
 	r.nextID++
-	return r.nextID
+	return runnerID{id: r.nextID}
 }
 
 // usable returns the nodes of each service that may take work: the live ones,
@@ -217,6 +217,9 @@
 		return
 	}
 	x.observeEpoch(ev.Epoch)
+	if r.terms&TermEvents == 0 {
+		return
+	}
 	for _, c := range ev.Changes {
 		if c.Evicted {
 			r.prefixes.evict(c.Block, x)
--- a/internal/routing/runner.go
+++ b/internal/routing/runner.go
@@ -10,6 +10,7 @@
 
 const (
 	evidenceWeight  = 0.1  // of one observation in a moving average
+	usualWeight     = 0.01 // of one observation in the usual slowness of a service
 	trustWeight     = 0.05 // of one observation of the cache estimate
 	maxSlowness     = 64.0
 	minSlowness     = 1.0 / 16
@@ -18,7 +19,7 @@
 	maxLoadAge      = 10 * time.Second // an older report says nothing
 	refusalShare    = 0.5              // of a failure in the failure rate
 	probeInterval   = 2 * time.Second  // between probes of an upstream that looks bad, for all daemons together
-	probeSlowness   = 1.2              // above which an upstream looks bad
+	probeSlowness   = 1.5              // times the usual, above which an upstream looks bad
 	probeFailures   = 0.1
 )
 
@@ -68,13 +69,20 @@
 	history    history
 }
 
-func newRunner(id uint16) *runner {
-	r := &runner{id: id}
+func newRunner(id runnerID) *runner {
+	r := &runner{id: id.id}
+	r.generation.Store(id.generation)
 	r.slowness.store(1)
 	r.trust.store(1)
 	return r
 }
 
+// runnerID is an id with the first generation that is free under it.
+type runnerID struct {
+	id         uint16
+	generation uint32
+}
+
 // restarted forgets what a restart of the upstream invalidates.
 func (r *runner) restarted() {
 	r.generation.Add(1)
@@ -93,8 +101,10 @@
 	return neutral + (v-neutral)*math.Exp2(-age)
 }
 
-func (r *runner) slownessAt(now int64) float64 {
-	return aged(r.slowness.load(), 1, now, r.slowAt.Load())
+// slownessAt returns the slowness, which reverts to what is usual for the
+// service when it was worse and is not confirmed.
+func (r *runner) slownessAt(now int64, usual float64) float64 {
+	return aged(r.slowness.load(), usual, now, r.slowAt.Load())
 }
 
 func (r *runner) failuresAt(now int64) float64 {
@@ -103,8 +113,8 @@
 
 // takeProbe tells whether the upstream looks bad on old evidence and this
 // request shall test it. Of concurrent requests one is told so.
-func (r *runner) takeProbe(now int64, peers float64) bool {
-	if r.slowness.load() < probeSlowness && r.failures.load() < probeFailures {
+func (r *runner) takeProbe(now int64, usual, peers float64) bool {
+	if r.slowness.load() < probeSlowness*usual && r.failures.load() < probeFailures {
 		return false
 	}
 	interval := int64(float64(probeInterval) * peers)
@@ -119,11 +129,12 @@
 }
 
 // observeStart takes in the time to the first token against the expectation.
-func (r *runner) observeStart(now int64, observedMS, expectedMS float64) {
+func (r *runner) observeStart(now int64, observedMS, expectedMS float64, usual *atomicFloat) {
 	ratio := (observedMS + slownessFloorMS) / (expectedMS + slownessFloorMS)
 	ratio = min(max(ratio, minSlowness), maxSlowness)
-	r.slowness.store(r.slownessAt(now))
+	r.slowness.store(r.slownessAt(now, usual.load()))
 	r.slowness.average(ratio, evidenceWeight)
+	usual.average(ratio, usualWeight)
 	r.slowAt.Store(now)
 	r.proven.Add(1)
 }
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -17,20 +17,20 @@
 
 // snapshot is the immutable view of one service's upstreams.
 type snapshot struct {
-	nodes   []node
-	byID    []int32 // index into nodes plus one, by runner id; 0 for none
-	table   []int32 // indexes into nodes: the winners of the rendezvous for each bucket
-	perPick int     // winners for each bucket
-	shared  *serviceState
-	targetM float64 // target of the first token in milliseconds, 0 for none
-	kind    manifest.Kind
-	peers   float64 // requests of all daemons for each of this daemon's
+	nodes    []node
+	byID     []int32 // index into nodes plus one, by runner id; 0 for none
+	table    []int32 // indexes into nodes: the winners of the rendezvous for each bucket
+	perPick  int     // winners for each bucket
+	shared   *serviceState
+	targetMS float64 // target of the first token in milliseconds, 0 for none
+	kind     manifest.Kind
+	peers    float64 // requests of all daemons for each of this daemon's
 }
 
 func newSnapshot(a *manifest.Active, s *manifest.Service, nodes []node, ids int, shared *serviceState) *snapshot {
 	v := &snapshot{nodes: nodes, byID: make([]int32, ids), shared: shared}
 	v.kind = s.Kind
-	v.targetM = float64(s.Target.FirstTokenMS)
+	v.targetMS = float64(s.Target.FirstTokenMS)
 	for i := range nodes {
 		v.byID[nodes[i].id] = int32(i + 1)
 	}
