--- a/internal/bench/row.go
+++ b/internal/bench/row.go
@@ -94,8 +94,11 @@
 	fmt.Fprintf(&b, " first_p50_ms=%.0f first_p95_ms=%.0f first_p99_ms=%.0f between_p95_ms=%.1f", r.First50, r.First95, r.First99, r.Between95)
 	fmt.Fprintf(&b, " on_time=%.3f not_run=%d cut=%d recomputed_tokens=%d prefilled_tokens=%d", r.OnTime, r.NotRun, r.Cut, r.Recomputed, r.Prefilled)
 	fmt.Fprintf(&b, " others_first_p95_ms=%.0f others_on_time=%.3f", r.OthersFirst95, r.OthersOnTime)
-	if r.CostAtTarget > 0 {
+	switch {
+	case r.CostAtTarget > 0:
 		fmt.Fprintf(&b, " cost_at_target=%.2f", r.CostAtTarget)
+	case r.Scenario == costScenario:
+		b.WriteString(" cost_at_target=none")
 	}
 	return b.String()
 }
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -19,6 +19,7 @@
 	maxRunners     = 24
 	costRunners    = 12 // whose sustained load the search of the cheapest fleet uses
 	costLoad       = 0.5
+	costScenario   = "cost"
 	warmPart       = 4 // a run's first part of so many is not measured
 )
 
@@ -114,7 +115,7 @@
 // Cheapest searches the cheapest fleet with which the variant meets the
 // target, for a fixed load, by bisection over the number of runners.
 func (b *Bench) Cheapest(m *Mix, v Variant) (Row, error) {
-	s := &Scenario{Name: "cost"}
+	s := &Scenario{Name: costScenario}
 	rate := m.Rate * costRunners * costLoad
 	low, high := minRunners-1, maxRunners+1
 	var best Row
