--- a/internal/daemon/control_test.go
+++ b/internal/daemon/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -71,9 +72,23 @@
 	}
 	g.t.Cleanup(m.stop)
 	g.daemons = append(g.daemons, m)
+	awaitListener(g.t, s.Operator)
 	return m
 }
 
+// awaitListener polls until something listens at address.
+func awaitListener(t *testing.T, address string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		_ = c.Close()
+		return poll.Success()
+	}, poll.WithTimeout(patience))
+}
+
 func newGroup(t *testing.T, n int) *group {
 	g := &group{t: t, table: &outage{Memory: platform.NewMemory()}}
 	for i := range n {
@@ -121,7 +136,7 @@
 	g := newGroup(t, 4)
 	path := writeManifest(t)
 	g.await("all daemons known", func(s operator.Status) bool { return len(s.Daemons) == 4 })
-	assert.NilError(t, ctl.New(g.daemons[0].settings.Operator, io.Discard).Apply(path, operator.BaseInForce))
+	assert.NilError(t, apply(g.daemons[0], path))
 	g.awaitGeneration(1)
 
 	errs := make(chan error, 2)
@@ -148,7 +163,7 @@
 
 func TestDaemonThatStartsWithTheTableDownAsksPeers(t *testing.T) {
 	g := newGroup(t, 2)
-	assert.NilError(t, pollApply(t, g.daemons[0], writeManifest(t)))
+	assert.NilError(t, apply(g.daemons[0], writeManifest(t)))
 	g.awaitGeneration(1)
 	g.table.down.Store(true)
 	g.start("late")
@@ -162,7 +177,7 @@
 	g.await("trouble", func(s operator.Status) bool {
 		return !s.Ready && s.Trouble == "table: platform unavailable; no peer has a manifest"
 	})
-	assert.Equal(t, ctl.ExitCode(pollApply(t, m, writeManifest(t))), ctl.ExitReach)
+	assert.Equal(t, ctl.ExitCode(apply(m, writeManifest(t))), ctl.ExitReach)
 }
 
 func TestStoppedDaemonLeavesInOrder(t *testing.T) {
@@ -173,16 +188,7 @@
 	g.await("left", func(s operator.Status) bool { return s.Daemons[2].State == "left" })
 }
 
-// pollApply applies once the operator port of m listens.
-func pollApply(t *testing.T, m *member, path string) error {
-	t.Helper()
-	var err error
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		err = ctl.New(m.settings.Operator, io.Discard).Apply(path, operator.BaseInForce)
-		if err != nil && m.Status().Trouble == "no manifest yet" {
-			return poll.Continue("%v", err)
-		}
-		return poll.Success()
-	}, poll.WithTimeout(patience))
-	return err
+// apply applies a manifest at m.
+func apply(m *member, path string) error {
+	return ctl.New(m.settings.Operator, io.Discard).Apply(path, operator.BaseInForce)
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -40,7 +40,7 @@
 		g.start(fmt.Sprintf("d%d", i))
 	}
 	path := writeText(t, text)
-	assert.NilError(t, pollApply(t, g.daemons[0], path))
+	assert.NilError(t, apply(g.daemons[0], path))
 	g.await("a started runner is live", func(s operator.Status) bool {
 		n := 0
 		for _, u := range s.Upstreams {
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -32,7 +32,7 @@
 		cancel()
 		assert.Check(t, <-done)
 	})
-	assert.NilError(t, pollApply(t, g.daemons[0], path))
+	assert.NilError(t, apply(g.daemons[0], path))
 	g.awaitUpstream("e1", "live")
 	const tokens = 150
 	body := fmt.Sprintf(`{"model":"fortune","prompt":"hello","max_tokens":%d,"stream":true}`, tokens)
--- a/internal/daemon/upstreams_test.go
+++ b/internal/daemon/upstreams_test.go
@@ -69,7 +69,7 @@
 	"vm_classes": [{"name": "g", "on_demand_per_hour": 2, "reclaimable_per_hour": 1}]}`, strings.Join(declared, ","), key)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	g.await("all daemons known", func(s operator.Status) bool { return len(s.Daemons) == daemons })
-	assert.NilError(t, pollApply(t, g.daemons[0], path))
+	assert.NilError(t, apply(g.daemons[0], path))
 	g.awaitUpstream("u0", "live")
 	return g, runners
 }
