--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,6 +77,10 @@
 // that the settings name.
 func WithTable(t platform.Table) Option { return func(d *Daemon) { d.table = t } }
 
+// WithObjects makes the daemon keep objects in o instead of the object store
+// that the settings name.
+func WithObjects(o platform.Objects) Option { return func(d *Daemon) { d.objects = o } }
+
 // New assembles a daemon. Nothing runs before Run.
 func New(s *settings.Settings, log hclog.Logger, options ...Option) *Daemon {
 	d := &Daemon{
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -58,7 +58,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
 	go func() { done <- standin.Serve(ctx, path, standin.Platform{}) }()
-	go func() { done <- daemon.New(s, hclog.NewNullLogger(), daemon.WithTable(platform.NewMemory())).Run(ctx) }()
+	go func() {
+		done <- daemon.New(s, hclog.NewNullLogger(), daemon.WithTable(platform.NewMemory()), daemon.WithObjects(platform.NewMemoryObjects())).Run(ctx)
+	}()
 	t.Cleanup(func() {
 		cancel()
 		for range 2 {
