A booking handed over with its answer can't be begun again

Its lease lapsed, a third daemon adopted the row as running, and the booking ran twice. A claim with an end at hand now leaves the row dispatched.

--- a/internal/serve/lotrecord.go
+++ b/internal/serve/lotrecord.go
@@ -25,7 +25,7 @@
 	h.lock()
 	defer h.unlock()
 	if !h.claimed {
-		if err := l.commitLot(ctx, h, claim); err != nil {
+		if err := l.commitLot(ctx, h, h.claim); err != nil {
 			return err
 		}
 		h.claimed = true
@@ -33,12 +33,20 @@
 	return l.commitLot(ctx, h, f)
 }
 
-// claim records that this daemon owns a lot that it has taken.
-func claim(h ledger.Hold, now time.Time) (ledger.Hold, []platform.Write, error) {
-	if h.Open.State == ledger.Dispatched {
-		return ledger.Change(h, ledger.Refuse, leaseTime, now)
-	}
-	return ledger.Change(h, ledger.Adopt, leaseTime, now)
+// claim records that this daemon owns a lot that it has taken. A dispatch that
+// the owner before recorded and never sent is undone. One that has reached its
+// end stays dispatched, so that nobody begins it again before the end is
+// recorded.
+func (h *held) claim(hold ledger.Hold, now time.Time) (ledger.Hold, []platform.Write, error) {
+	if hold.Open.State == ledger.Dispatched && h.pending == nil {
+		return ledger.Change(hold, ledger.Refuse, leaseTime, now)
+	}
+	return ledger.Change(hold, ledger.Adopt, leaseTime, now)
+}
+
+// unchanged is no change: recording it claims a lot that was taken.
+func unchanged(hold ledger.Hold, _ time.Time) (ledger.Hold, []platform.Write, error) {
+	return hold, nil, nil
 }
 
 // commitLot commits a change once, unless it has no writes. The caller holds the lot's recording lock.
--- a/internal/serve/lotwatch.go
+++ b/internal/serve/lotwatch.go
@@ -88,7 +88,7 @@
 	h := newHeld(ledger.Take(ledger.Hold{Lot: lot, Open: open, Version: version}, l.daemon, uuid.NewString()), nil)
 	h.claimed = false
 	h.restore(p)
-	if err := l.record(ctx, h, claim); err != nil {
+	if err := l.record(ctx, h, unchanged); err != nil {
 		return
 	}
 	l.log.Info("lot adopted", "id", id, "peer", open.Owner, "tokens", p.Tokens)
--- a/internal/serve/lotwork.go
+++ b/internal/serve/lotwork.go
@@ -52,7 +52,9 @@
 // recordEnd records the end of a lot. When ctx ends it goes on for a short
 // while, since only the record is missing.
 func (l *Lots) recordEnd(ctx context.Context, h *held, end *ledger.End) error {
+	h.lock()
 	h.pending = end
+	h.unlock()
 	rctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { time.AfterFunc(endPatience, cancel) })
