--- a/cmd/lagoonmux/main.go
+++ b/cmd/lagoonmux/main.go
@@ -54,6 +54,7 @@
 	expvar.Publish("lagoonmux", expvar.Func(func() any { return d.Report() }))
 	expvar.Publish("lagoonmux.routing", expvar.Func(func() any { return d.RoutingStats() }))
 	expvar.Publish("lagoonmux.limits", expvar.Func(func() any { return d.LimitStats() }))
+	expvar.Publish("lagoonmux.ledger", expvar.Func(func() any { return d.LedgerStats() }))
 	if err := d.Run(ctx); err != nil {
 		log.Error("daemon failed", "error", err)
 		os.Exit(exitFailure)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,22 +34,23 @@
 
 // Daemon is one daemon on one VM.
 type Daemon struct {
-	settings  *settings.Settings
-	log       hclog.Logger
-	manifests manifest.Current
-	draining  atomic.Bool
-	router    *routing.Router
-	pool      *upstream.Pool
-	admission *admission
-	cache     *cacheWatch
-	entry     *entry.Server
-	operator  *operator.Server
-	registry  *obs.Registry
-	table     platform.Table
-	objects   platform.Objects
-	writer    *batch.Writer
-	lots      *serve.Lots
-	invalid   error // why the daemon cannot run
+	settings   *settings.Settings
+	log        hclog.Logger
+	manifests  manifest.Current
+	draining   atomic.Bool
+	router     *routing.Router
+	pool       *upstream.Pool
+	admission  *admission
+	cache      *cacheWatch
+	entry      *entry.Server
+	operator   *operator.Server
+	registry   *obs.Registry
+	table      platform.Table
+	objects    platform.Objects
+	writer     *batch.Writer
+	dispatcher *dispatch.Dispatcher
+	lots       *serve.Lots
+	invalid    error // why the daemon cannot run
 
 	tls        *tls.Config
 	traffic    peer.Traffic
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -9,9 +9,22 @@
 	"github.com/lagoonmux/lagoonmux/internal/serve"
 )
 
+// LedgerStats counts what dispatch and the table's writer did since the start.
+type LedgerStats struct {
+	Dispatch dispatch.Stats `json:"dispatch"`
+	Table    batch.Stats    `json:"table"`
+	LotsHeld int            `json:"lots_held"` // now
+}
+
+// LedgerStats returns the counters. Any goroutine may call it.
+func (d *Daemon) LedgerStats() LedgerStats {
+	return LedgerStats{Dispatch: d.dispatcher.Stats(), Table: d.writer.Stats(), LotsHeld: d.lots.Held()}
+}
+
 // newBackend builds what runs calls, with the records that some need. Records
 // under way are awaited, and lots handed over, when the daemon stops.
 func (d *Daemon) newBackend(dispatcher *dispatch.Dispatcher) *serve.Backend {
+	d.dispatcher = dispatcher
 	d.writer = batch.New(d.table, batch.Options{})
 	recorder := serve.NewRecorder(d.settings.Name, d.table, d.objects, d.writer, dispatcher, d.log.Named("ledger"))
 	d.lots = serve.NewLots(serve.LotsConfig{
--- a/internal/platform/batch/batch.go
+++ b/internal/platform/batch/batch.go
@@ -42,11 +42,11 @@
 
 // Stats counts what the writer did.
 type Stats struct {
-	Commits int64 // sent to the table
-	Rows    int64 // of those commits
-	Joined  int64 // commits of callers that shared a transaction
-	Split   int64 // transactions that were repeated one by one after a conflict
-	Refused int64 // for lack of budget
+	Commits int64 `json:"commits"` // sent to the table
+	Rows    int64 `json:"rows"`    // of those commits
+	Joined  int64 `json:"joined"`  // commits of callers that shared a transaction
+	Split   int64 `json:"split"`   // transactions that were repeated one by one after a conflict
+	Refused int64 `json:"refused"` // for lack of budget
 }
 
 // Writer is the way to the table for everything that writes often. Its methods
