--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,22 +34,23 @@
 
 // Daemon is one daemon on one VM.
 type Daemon struct {
-	settings  *settings.Settings
-	log       hclog.Logger
-	manifests manifest.Current
-	draining  atomic.Bool
-	router    *routing.Router
-	pool      *upstream.Pool
-	admission *admission
-	cache     *cacheWatch
-	entry     *entry.Server
-	operator  *operator.Server
-	registry  *obs.Registry
-	table     platform.Table
-	objects   platform.Objects
-	writer    *batch.Writer
-	lots      *serve.Lots
-	invalid   error // why the daemon cannot run
+	settings   *settings.Settings
+	log        hclog.Logger
+	manifests  manifest.Current
+	draining   atomic.Bool
+	router     *routing.Router
+	pool       *upstream.Pool
+	admission  *admission
+	cache      *cacheWatch
+	entry      *entry.Server
+	operator   *operator.Server
+	registry   *obs.Registry
+	table      platform.Table
+	objects    platform.Objects
+	writer     *batch.Writer
+	dispatcher *dispatch.Dispatcher
+	lots       *serve.Lots
+	invalid    error // why the daemon cannot run
 
 	tls        *tls.Config
 	traffic    peer.Traffic
@@ -77,6 +78,10 @@
 // that the settings name.
 func WithTable(t platform.Table) Option { return func(d *Daemon) { d.table = t } }
 
+// WithObjects makes the daemon keep objects in o instead of the object store
+// that the settings name.
+func WithObjects(o platform.Objects) Option { return func(d *Daemon) { d.objects = o } }
+
 // New assembles a daemon. Nothing runs before Run.
 func New(s *settings.Settings, log hclog.Logger, options ...Option) *Daemon {
 	d := &Daemon{
