--- a/internal/standin/load/audit.go
+++ b/internal/standin/load/audit.go
@@ -71,12 +71,15 @@
 func (a *audit) note(r *request, res *result) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if r.key == "" {
-		if res.verdict == NotRun && r.caller.Kind != Plain {
+	if r.caller.Kind != Plain {
+		if res.verdict == NotRun {
 			a.notRun[res.id] = true
 		}
 		return
 	}
+	if r.key == "" {
+		return
+	}
 	a.keyed[r.key] = true
 	switch res.verdict {
 	case NotRun:
--- a/internal/standin/load/client.go
+++ b/internal/standin/load/client.go
@@ -100,14 +100,17 @@
 	}
 	res.status = x.Response.StatusCode()
 	res.id = string(x.Response.Header.Peek(entry.HeaderRequestID))
-	err = c.receive(x, r, &res, arrived)
+	if res.status == fasthttp.StatusAccepted {
+		err = c.collect(ctx, x, r, &res, arrived)
+	} else {
+		err = c.receive(x, r, &res, arrived)
+	}
 	res.total = time.Since(arrived)
 	c.judge(r, &res, err)
 	return res
 }
 
-// send finds a daemon that takes the connection. A reused connection may have
-// been closed by the daemon meanwhile, upon which a new one is tried.
+// send sends r to a ready daemon.
 func (c *client) send(ctx context.Context, r *request) (*upstream.Exchange, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
@@ -117,14 +120,23 @@
 	if r.key != "" {
 		req.Header.Set(entry.HeaderIdempotencyKey, r.key)
 	}
+	if r.caller.Kind == Lot {
+		req.Header.Set("Prefer", "respond-async")
+	}
 	if len(r.body) > 0 {
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(r.body)
 	}
+	return c.start(ctx, req, r.path)
+}
+
+// start finds a daemon that takes the connection. A reused connection may have
+// been closed by the daemon meanwhile, upon which a new one is tried.
+func (c *client) start(ctx context.Context, req *fasthttp.Request, path string) (*upstream.Exchange, error) {
 	var last error
 	for attempt := range c.balancer.size() + 1 {
 		address := c.balancer.next()
-		req.SetRequestURI("http://" + address + r.path)
+		req.SetRequestURI("http://" + address + path)
 		x, err := c.pool.Start(ctx, address, req, attempt > 0)
 		if err == nil {
 			return x, nil
@@ -250,11 +262,7 @@
 	if got.ID != id {
 		return wrongf(Crossed, "answer of %s, asked %s", got.ID, id)
 	}
-	w := completion.NewWords(r.prompt)
-	want := ""
-	for i := range r.tokens {
-		want += w.At(i)
-	}
+	want := wholeText(r)
 	if text, _ := got.FirstChoice(); text != want {
 		return wrongf(Wrong, "text %q, expected %q", text, want)
 	}
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
 
@@ -76,22 +78,28 @@
 	return bytes.NewReader(sse.Append(wire, sse.Event{ID: -1, Data: []byte(sse.Done)}))
 }
 
+// play runs the mix against a daemon made of handle.
+func play(t *testing.T, mix *Mix, handle fasthttp.RequestHandler) *Report {
+	t.Helper()
+	set := faults.New()
+	l, err := set.Listener("127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- set.ServeListener(ctx, l, handle) }()
+	report, err := Run(ctx, Options{Mix: mix, Daemons: []string{l.Addr().String()}})
+	cancel()
+	assert.NilError(t, err)
+	assert.NilError(t, <-done)
+	return report
+}
+
 func TestEveryVerdictIsFound(t *testing.T) {
 	for _, want := range []Verdict{OnTime, NotRun, Unknown, Cut, Crossed, Wrong} {
 		t.Run(string(want), func(t *testing.T) {
 			mix, err := ParseMix("mix", []byte(mixText))
 			assert.NilError(t, err)
-			set := faults.New()
-			l, err := set.Listener("127.0.0.1:0")
-			assert.NilError(t, err)
-			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan error)
-			d := &fakeDaemon{fault: want}
-			go func() { done <- set.ServeListener(ctx, l, d.handle) }()
-			report, err := Run(ctx, Options{Mix: mix, Daemons: []string{l.Addr().String()}})
-			cancel()
-			assert.NilError(t, err)
-			assert.NilError(t, <-done)
+			report := play(t, mix, (&fakeDaemon{fault: want}).handle)
 			assert.Assert(t, report.Groups[0].Sent > 0)
 			assert.Equal(t, report.Count(want), report.Groups[0].Sent, "%+v", report.Samples)
 			assert.Equal(t, report.Violations() > 0, want == Crossed || want == Wrong)
@@ -103,6 +111,48 @@
 	}
 }
 
+// lotDaemon accepts lots and answers them at the second lookup.
+type lotDaemon struct {
+	mu      sync.Mutex
+	answers map[string]lotStatus // by location
+	asked   map[string]int
+	spoil   string // added to every text
+}
+
+func (d *lotDaemon) handle(ctx *fasthttp.RequestCtx) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	path := string(ctx.Path())
+	if ctx.IsPost() {
+		req, _ := completion.Parse(ctx.PostBody(), false)
+		id := fmt.Sprintf("lot-%d", len(d.answers))
+		text := wholeText(&request{prompt: req.Prompt, tokens: req.MaxTokens}) + d.spoil
+		d.answers["/v1/requests/"+id] = lotStatus{ID: id, Outcome: "answered", Tokens: req.MaxTokens, Text: text}
+		ctx.Response.Header.Set(entry.HeaderRequestID, id)
+		ctx.Response.Header.Set(fasthttp.HeaderLocation, "/v1/requests/"+id)
+		ctx.SetStatusCode(fasthttp.StatusAccepted)
+		return
+	}
+	a := d.answers[path]
+	d.asked[path]++
+	if d.asked[path] < 2 {
+		a.Outcome = ""
+	}
+	data, _ := json.Marshal(a)
+	ctx.SetBody(data)
+}
+
+func TestLotsAreCollectedAndChecked(t *testing.T) {
+	for spoil, want := range map[string]Verdict{"": OnTime, "x": Wrong} {
+		mix, err := ParseMix("mix", []byte(strings.Replace(mixText, `"stream"`, `"lot"`, 1)))
+		assert.NilError(t, err)
+		d := &lotDaemon{answers: make(map[string]lotStatus), asked: make(map[string]int), spoil: spoil}
+		report := play(t, mix, d.handle)
+		assert.Assert(t, report.Groups[0].Sent > 0)
+		assert.Equal(t, report.Count(want), report.Groups[0].Sent, "%+v", report.Samples)
+	}
+}
+
 func TestSameSeedSameRequests(t *testing.T) {
 	mix, err := ParseMix("mix", []byte(mixText))
 	assert.NilError(t, err)
--- /dev/null
+++ b/internal/standin/load/lot.go
@@ -0,0 +1,100 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/upstream"
+)
+
+const lotPoll = 200 * time.Millisecond
+
+// lotStatus is what a daemon says of an accepted request.
+type lotStatus struct {
+	ID      string `json:"request_id"`
+	State   string `json:"state"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Tokens  int    `json:"tokens"`
+	Text    string `json:"text"`
+}
+
+// collect waits for the outcome of a request that was accepted by the answer x
+// and checks it.
+func (c *client) collect(ctx context.Context, x *upstream.Exchange, r *request, res *result, arrived time.Time) error {
+	location := string(x.Response.Header.Peek(fasthttp.HeaderLocation))
+	if _, err := x.ReadAll(maxReplyBytes); err != nil {
+		return err
+	}
+	if r.caller.Kind != Lot || location == "" {
+		return wrongf(Wrong, "accepted without being asked, or without a location")
+	}
+	for {
+		s, err := c.lookup(ctx, r, location)
+		if err == nil && s.ID != res.id {
+			return wrongf(Crossed, "status of %s, asked %s", s.ID, res.id)
+		}
+		if err == nil && s.Outcome != "" {
+			res.first = time.Since(arrived)
+			return judgeLot(r, res, s)
+		}
+		select {
+		case <-ctx.Done():
+			res.first = 0
+			return errors.Errorf("accepted request %s has no outcome", res.id)
+		case <-time.After(lotPoll):
+		}
+	}
+}
+
+// lookup asks a ready daemon for the state of an accepted request. An error
+// says nothing about the request, and is followed by another lookup.
+func (c *client) lookup(ctx context.Context, r *request, location string) (*lotStatus, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodGet)
+	req.Header.Set("Authorization", "Bearer "+r.caller.Key)
+	x, err := c.start(ctx, req, location)
+	if err != nil {
+		return nil, err
+	}
+	body, err := x.ReadAll(maxReplyBytes)
+	if err != nil {
+		return nil, err
+	}
+	if code := x.Response.StatusCode(); code != fasthttp.StatusOK {
+		return nil, errors.Errorf("status %d: %s", code, body)
+	}
+	s := &lotStatus{}
+	return s, errors.Wrap(json.Unmarshal(body, s), "decode status")
+}
+
+func judgeLot(r *request, res *result, s *lotStatus) error {
+	switch s.Outcome {
+	case "not-run":
+		res.verdict, res.detail = NotRun, s.Reason
+		return nil
+	case "unknown":
+		res.verdict, res.detail = Unknown, s.Reason
+		return nil
+	}
+	if want := wholeText(r); s.Text != want || s.Tokens != r.tokens {
+		return wrongf(Wrong, "%d tokens, text %q, expected %d tokens, %q", s.Tokens, s.Text, r.tokens, want)
+	}
+	return nil
+}
+
+// wholeText returns the text that the engines generate for r.
+func wholeText(r *request) string {
+	w := completion.NewWords(r.prompt)
+	var text []byte
+	for i := range r.tokens {
+		text = append(text, w.At(i)...)
+	}
+	return string(text)
+}
--- a/internal/standin/load/mix.go
+++ b/internal/standin/load/mix.go
@@ -22,6 +22,7 @@
 	Whole  Kind = "whole"  // completions, answered whole
 	Chat   Kind = "chat"   // chat completions, streamed
 	Plain  Kind = "plain"  // a plain service
+	Lot    Kind = "lot"    // completions that are accepted and answered later
 )
 
 // Mix declares the callers of one run.
@@ -52,7 +53,7 @@
 	Key          string  `json:"key" validate:"required"`
 	Class        string  `json:"class" validate:"required"` // label of the report
 	Service      string  `json:"service" validate:"required"`
-	Kind         Kind    `json:"kind" validate:"required,oneof=stream whole chat plain"`
+	Kind         Kind    `json:"kind" validate:"required,oneof=stream whole chat plain lot"`
 	PerSecond    float64 `json:"per_second" validate:"required,gt=0"` // mean of the Poisson arrivals
 	TimeoutMS    int     `json:"timeout_ms" validate:"required,min=1"`
 	FirstTokenMS int     `json:"first_token_ms,omitempty" validate:"gte=0"` // target; an answer that begins later is late
--- a/internal/standin/load/plan.go
+++ b/internal/standin/load/plan.go
@@ -87,7 +87,10 @@
 	text := a.prefix() + words(a.label+"-"+strconv.Itoa(a.count), a.draw(c.OwnTokens)*bytesPerWord)
 	r.method = "POST"
 	r.path = completion.Path
-	body := completion.Request{Model: c.Service, MaxTokens: r.tokens, Stream: c.Kind != Whole}
+	body := completion.Request{Model: c.Service, MaxTokens: r.tokens, Stream: c.Kind == Stream || c.Kind == Chat}
+	if c.Kind == Lot {
+		r.key = "lot-" + a.label + "-" + strconv.Itoa(a.count)
+	}
 	if c.Kind == Chat {
 		r.path = completion.ChatPath
 		body.Messages = []completion.Message{{Role: "user", Content: text}}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -47,7 +47,7 @@
 	CALLERS+=(--daemon "$NET.1.$i:7000")
 done
 
-note "callers: streams, whole answers, chats, orders that may not be repeated, lookups"
+note "callers: streams, whole answers, chats, lots, orders that may not be repeated, lookups"
 start load "$BIN/lagoonstand" load --mix "$DIR/mix.json" "${CALLERS[@]}" --manifest "$MANIFEST" --control "$NET.0.1:7200" --strict
 sleep 4
 
