Stand-ins: a killed port takes no last connection; /faults answers before it strikes

New tests of the control port and of the cloud's starts and stops found two faults of the stand-ins. A client that reconnected within the 10 ms in which the port was still open kept an engine that had been killed alive for itself: 5 of 5 runs. Ruled out: a lost call of the cloud (its hook ran), and the re-opening of the port (it stayed closed). Accepted connections now look at the fault once the set knows them. And a kill or down could break the very connection that had set it: 2 of 5 runs; that connection is spared now.

After: go test -race -count=20 ./internal/standin passes.

--- a/internal/standin/faults/conn.go
+++ b/internal/standin/faults/conn.go
@@ -18,6 +18,7 @@
 	set       *Set
 	mu        sync.Mutex
 	silent    bool
+	spared    bool // carries a call of /faults, whose own answer must arrive
 	closed    chan struct{}
 	closeOnce sync.Once
 }
@@ -37,6 +38,19 @@
 	return c.silent
 }
 
+// spare keeps the faults that it sets from breaking the connection.
+func (c *conn) spare() {
+	c.mu.Lock()
+	c.spared = true
+	c.mu.Unlock()
+}
+
+func (c *conn) isSpared() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.spared
+}
+
 // reset closes the connection at once and drops what was not yet sent.
 func (c *conn) reset() {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
@@ -186,6 +200,12 @@
 		l.set.mu.Lock()
 		l.set.conns[c] = struct{}{}
 		l.set.mu.Unlock()
+		// Checked after the connection is known to the set: either this sees the
+		// fault, or the fault sees the connection.
+		if l.set.portClosed() {
+			c.reset()
+			continue
+		}
 		return c, nil
 	}
 }
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -236,6 +236,9 @@
 		go f(r.Fault)
 	}
 	for _, c := range open {
+		if c.isSpared() {
+			continue
+		}
 		switch r.Name {
 		case Blackhole:
 			c.silence()
--- a/internal/standin/faults/faults_test.go
+++ b/internal/standin/faults/faults_test.go
@@ -162,3 +162,19 @@
 	}
 	assert.Equal(t, len(s.Status()), 1)
 }
+
+func TestKillClosesThePortForGood(t *testing.T) {
+	s := serve(t)
+	_, _, err := s.call("/x", time.Second)
+	assert.NilError(t, err)
+	s.set.Kill()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, _, err := s.call("/x", time.Second); err == nil {
+			return poll.Continue("still answers")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Second))
+	time.Sleep(50 * time.Millisecond)
+	_, _, err = s.call("/x", time.Second)
+	assert.ErrorContains(t, err, "refused")
+}
--- a/internal/standin/faults/handler.go
+++ b/internal/standin/faults/handler.go
@@ -203,6 +203,10 @@
 }
 
 func (s *Set) handle(ctx *fasthttp.RequestCtx) {
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.spare()
+		ctx.SetConnectionClose()
+	}
 	if ctx.IsPost() {
 		var p Plan
 		d := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
