--- a/internal/platform/batch/batch_test.go
+++ b/internal/platform/batch/batch_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
@@ -103,3 +105,36 @@
 	assert.ErrorIs(t, err, platform.ErrUnavailable, "never sent")
 	close(table.open)
 }
+
+// slow is a table whose commits take as long as a service nearby.
+type slow struct{ *platform.Memory }
+
+func (s slow) Commit(ctx context.Context, token string, writes []platform.Write) error {
+	time.Sleep(5 * time.Millisecond)
+	return s.Memory.Commit(ctx, token, writes)
+}
+
+// BenchmarkCallers measures commits of many callers at once, each of one row:
+// ns/op is the time of one, and rows/commit how many are joined.
+func BenchmarkCallers(b *testing.B) {
+	for _, callers := range []int{1, 8, 64} {
+		b.Run(fmt.Sprint(callers), func(b *testing.B) {
+			w := batch.New(slow{platform.NewMemory()}, batch.Options{RowsPerSecond: 1e9, Daemons: 1})
+			defer w.Close()
+			var n atomic.Int64
+			var tasks sync.WaitGroup
+			for range callers {
+				tasks.Go(func() {
+					for i := n.Add(1); i <= int64(b.N); i = n.Add(1) {
+						key := fmt.Sprint("p/", i)
+						_ = w.Commit(context.Background(), batch.Calls, key, []platform.Write{{Key: key}})
+					}
+				})
+			}
+			tasks.Wait()
+			s := w.Stats()
+			b.ReportMetric(float64(s.Rows)/float64(s.Commits), "rows/commit")
+			b.ReportMetric(float64(b.Elapsed().Milliseconds())*float64(callers)/float64(b.N), "ms/caller")
+		})
+	}
+}
--- a/scripts/faults-ledger.sh
+++ b/scripts/faults-ledger.sh
@@ -67,7 +67,7 @@
 			;;
 		upstream-silent)
 			add "$NET.0.2:7102" '{"name":"silent","share":0.3,"for_ms":2000}'
-			add "$NET.0.2:7101" '{"name":"blackhole"}'
+			add "$NET.0.2:7101" '{"name":"blackhole","after_ms":100}'
 			;;
 		upstream-killed)
 			add "$NET.0.3:7102" '{"name":"kill","after_ms":100,"for_ms":1500}'
