Every open lot is watched and every expired record collected

Cause: both scans read the first 100 rows of a partition only.

The watch now reads a partition page by page. Collection begins at a random id, so that each page costs the same and every row is met in time. The share of the write budget for collection is 25% instead of 10%, since each call's row is deleted once: at 10% a full load of calls left rows behind for ever.

--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -79,8 +79,11 @@
 	return uuid.NewSHA1(uuid.NameSpaceOID, []byte(customer+"\x00"+key)).String()
 }
 
+// CallPartition is the kind of the partitions of calls that may not be repeated.
+const CallPartition = "call"
+
 // CallKey returns the key of the row of the call with that id.
-func CallKey(id string) string { return partition("call", id) + "/" + id }
+func CallKey(id string) string { return partition(CallPartition, id) + "/" + id }
 
 // partition returns the partition of records of a kind in which id lies.
 func partition(kind, id string) string {
--- a/internal/platform/batch/budget.go
+++ b/internal/platform/batch/budget.go
@@ -19,7 +19,7 @@
 )
 
 // shares of the write budget. They add up to 1.
-var shares = [users]float64{Calls: 0.6, Lots: 0.3, Control: 0.1}
+var shares = [users]float64{Calls: 0.5, Lots: 0.25, Control: 0.25}
 
 const burstSeconds = 2
 
--- a/internal/serve/lotwatch.go
+++ b/internal/serve/lotwatch.go
@@ -16,9 +16,9 @@
 const (
 	watchInterval   = time.Second
 	scansPerSecond  = 16.0 // partitions of open lots, by all daemons together
-	scanLimit       = 100  // rows of one scan
+	scanLimit       = 100  // rows of one page of a scan
 	maxAdoptions    = 8    // by one scan
-	collectEvery    = 30   // scans of open lots for each scan for collection
+	collectEvery    = 5    // intervals between two scans for collection
 	retention       = 24 * time.Hour
 	collectGrace    = 10 * time.Minute // from the mark until the objects are deleted
 	overdueGrace    = time.Minute
@@ -50,28 +50,46 @@
 func (l *Lots) scanOpen(ctx context.Context, partition int, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, watchCallBudget)
 	defer cancel()
-	rows, err := l.table.Scan(ctx, ledger.PartitionName(ledger.OpenPartition, partition), "", scanLimit)
-	if err != nil {
-		l.log.Debug("scan failed", "step", stepLots, "peer", peerTable, "error", err)
-		return
-	}
 	adopted := 0
-	for _, row := range rows {
-		var open ledger.Open
-		if err := ledger.Decode(row, &open); err != nil {
-			l.log.Error("row not read", "error", err)
-			continue
+	for after := ""; ; {
+		rows, err := l.table.Scan(ctx, ledger.PartitionName(ledger.OpenPartition, partition), after, scanLimit)
+		if err != nil {
+			l.log.Debug("scan failed", "step", stepLots, "peer", peerTable, "error", err)
+			return
 		}
-		id := row.Key[len(row.Key)-len(uuid.Nil.String()):]
-		switch {
-		case l.find(id) != nil:
-		case ledger.MayAdopt(open, now) && adopted < maxAdoptions:
-			adopted++
-			l.adopt(ctx, id, open, row.Version)
-		case open.State == ledger.Dispatched && ledger.Overdue(open, overdueGrace, now):
-			l.giveUp(ctx, id, open, row.Version)
+		for _, row := range rows {
+			if l.look(ctx, row, now, adopted < maxAdoptions) {
+				adopted++
+			}
 		}
+		if len(rows) < scanLimit {
+			return
+		}
+		after = idOf(rows[len(rows)-1])
+	}
+}
+
+// idOf returns the id of the request whose row it is.
+func idOf(row platform.Row) string { return row.Key[len(row.Key)-len(uuid.Nil.String()):] }
+
+// look tries to adopt an open lot whose lease has lapsed, if it may, and ends
+// one that cannot be answered any more. It reports whether it tried to adopt.
+func (l *Lots) look(ctx context.Context, row platform.Row, now time.Time, mayAdopt bool) bool {
+	var open ledger.Open
+	if err := ledger.Decode(row, &open); err != nil {
+		l.log.Error("row not read", "error", err)
+		return false
 	}
+	id := idOf(row)
+	switch {
+	case l.find(id) != nil:
+	case ledger.MayAdopt(open, now) && mayAdopt:
+		l.adopt(ctx, id, open, row.Version)
+		return true
+	case open.State == ledger.Dispatched && ledger.Overdue(open, overdueGrace, now):
+		l.giveUp(ctx, id, open, row.Version)
+	}
+	return false
 }
 
 // adopt takes a lot whose lease has lapsed and goes on from what is kept.
@@ -108,20 +126,19 @@
 	})
 }
 
-// collect removes what is no longer kept from one partition of lots and one of
-// calls.
+// collect removes what is no longer kept from one page of a partition of lots
+// and one of calls. The pages begin at a random id, so that every row is met in
+// time however many there are.
 func (l *Lots) collect(ctx context.Context, partition int, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, watchCallBudget)
 	defer cancel()
-	lots, _ := l.table.Scan(ctx, ledger.PartitionName(ledger.LotPartition, partition), "", scanLimit)
-	for _, row := range lots {
+	for _, row := range l.page(ctx, ledger.LotPartition, partition) {
 		var lot ledger.Lot
 		if ledger.Decode(row, &lot) == nil {
 			l.collectLot(ctx, lot, row, now)
 		}
 	}
-	calls, _ := l.table.Scan(ctx, ledger.PartitionName("call", partition), "", scanLimit)
-	for _, row := range calls {
+	for _, row := range l.page(ctx, ledger.CallPartition, partition) {
 		s, err := ledger.DecodeRecord(row)
 		if err == nil && ledger.Expired(s, retention, now) {
 			l.collectCall(ctx, s, row)
@@ -129,6 +146,20 @@
 	}
 }
 
+// page reads rows from a random id on, and from the first where few follow it.
+func (l *Lots) page(ctx context.Context, kind string, partition int) []platform.Row {
+	name := ledger.PartitionName(kind, partition)
+	rows, err := l.table.Scan(ctx, name, uuid.NewString(), scanLimit)
+	if err != nil {
+		return nil
+	}
+	if left := scanLimit - len(rows); left > 0 {
+		first, _ := l.table.Scan(ctx, name, "", left)
+		rows = append(rows, first...)
+	}
+	return rows
+}
+
 // collectLot marks an ended lot first, deletes its objects a grace period later
 // and its row last, so that a reader that saw the row before the mark still
 // finds the objects.
