A daemon whose drain has no time left still stops

Cause: NOTICE=3s make demo DEPLOYMENT=neon hung for ten minutes: entry-1 had handed over its lots and closed its operator port, but its caller port ran on. Stop waited for boot, end and context in one select; with the context ended already, it picked at random and in half of the cases returned without closing the port, so that Run never ended.

Ruled out: a lost wake-up in gnet. The goroutine dump shows nobody waiting in Engine.Stop.

TestStopWithoutPatience fails on the old code and passes now. The demo takes NOTICE from the environment.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -67,18 +67,21 @@
 	return errors.Wrapf(err, "listen for callers at %s", address)
 }
 
-// Stop drains: answers close their connections from now on. It returns when no
-// request is in flight and the callers of idle connections had the grace time
-// to send one more, or when ctx ends; then the port is closed.
+// Stop may be called once Run has been. It drains: answers close their
+// connections from now on. It returns when no request is in flight and the
+// callers of idle connections had the grace time to send one more, or when ctx
+// ends; then the port is closed.
 func (s *Server) Stop(ctx context.Context) error {
+	s.draining.Store(true)
+	select {
+	case <-s.booted: // soon after Run began, even if ctx has ended already
+	case <-s.ended:
+	}
 	select {
-	case <-s.booted:
 	case <-s.ended:
 		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "stop caller port")
+	default:
 	}
-	s.draining.Store(true)
 	grace := time.Now().Add(s.limits.DrainGrace)
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -424,3 +424,15 @@
 	assert.Equal(t, len(body), len(f.reply))
 	<-stopped
 }
+
+// TestStopWithoutPatience checks that the port closes although the time for the
+// drain is over before it begins, as after a reclaim with short notice.
+func TestStopWithoutPatience(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 8 {
+		f := start(t, &fake{}, nil)
+		assert.NilError(t, f.server.Stop(ctx))
+		<-f.server.ended
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,7 +19,7 @@
 	;;
 esac
 DAEMONS=(1 3 5) # one in each zone; entry-1 is in $ZONE
-NOTICE=8s       # from the notice to the end of the reclaimed VMs
+NOTICE=${NOTICE:-8s}     # from the notice to the end of the reclaimed VMs
 
 begin "demo-$DEPLOYMENT"
 MANIFEST=$DIR/manifest.json
