Streams move off a leaving upstream with their KV cache before it ends

Cause: a stream at a reclaimed upstream went on until the upstream ended, and its whole context was computed again elsewhere. Engines export and import KV caches; nothing used that.

A stream that would outlast the notice now moves within it: the old upstream exports, the next imports, and the answer goes on by token index. Streams with a large context move first. One that ends in time stays.

Weighed: moving all at once at the notice (moves also those that would end in time); one task that orders all moves of an upstream (a lock for each token); a time chosen by each stream alone, larger contexts earlier.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,6 +114,7 @@
 	d.ShareLimits(d.members)
 	dispatcher := dispatch.New(d.pool, d.router)
 	dispatcher.OnLeaving(d.NoticeRefusal)
+	dispatcher.MoveOn(d.leaving)
 	backend := d.newBackend(dispatcher)
 	d.registry = obs.NewRegistry(log, time.Now())
 	api := entry.NewAPI(&d.manifests, backend, d.registry, d.ready)
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -86,6 +86,7 @@
 	ran       bool     // some attempt may have run
 	last      *attemptError
 	leaving   func(upstream string) // told of a refusal because of leaving; may be nil
+	kv        *exported             // KV cache for the next attempt; nil for none
 }
 
 // record takes in a failed attempt. Progress tells whether it brought a part
@@ -161,7 +162,7 @@
 	return err
 }
 
-// resultOf tells the router how an attempt ended. An attempt that the caller
+// resultOf tells the router how an attempt ended. An attempt that this side
 // ended says nothing about the upstream.
 func resultOf(ctx context.Context, err *attemptError) routing.Result {
 	switch {
@@ -169,7 +170,7 @@
 		return routing.Succeeded
 	case err.Refused:
 		return routing.Refused
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errMoved):
 		return routing.Canceled
 	default:
 		return routing.Failed
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,6 +35,7 @@
 	canceller *canceller
 	stats     counters
 	leaving   func(upstream string) // may be nil
+	notices   Notices               // may be nil
 
 	mu       sync.Mutex
 	services map[string]*serviceState
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -242,3 +242,55 @@
 	assert.Assert(t, f.Stats().Hedged > 0)
 	close(release)
 }
+
+// notice says that one upstream leaves once it is told.
+type notice struct {
+	upstream string
+	told     chan struct{}
+	end      time.Time
+}
+
+func (n *notice) Leaving(upstream string) <-chan struct{} {
+	if upstream != n.upstream {
+		return nil
+	}
+	return n.told
+}
+
+func (n *notice) Deadline(upstream string) (time.Time, bool) { return n.end, upstream == n.upstream }
+
+// TestStreamMovesOffALeavingUpstream checks that a stream that would outlast the
+// notice goes on elsewhere with its KV cache, and one that ends in time stays.
+func TestStreamMovesOffALeavingUpstream(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		end   time.Duration
+		moved int64
+	}{{"too long", 0, 1}, {"ends in time", time.Hour, 0}} {
+		t.Run(tt.name, func(t *testing.T) {
+			leaving := &notice{told: make(chan struct{}), end: time.Now().Add(tt.end)}
+			var imports atomic.Int64
+			f := newFleet(t, 2, func(_ int64, ctx *fasthttp.RequestCtx) {
+				switch string(ctx.Path()) {
+				case "/kv/export":
+					ctx.SetBodyString(`{"handle": "h", "tokens": 640}`)
+				case "/kv/import":
+					imports.Add(1)
+					ctx.SetBodyString(`{"tokens": 640}`)
+				default:
+					engine(ctx, 100, finish)
+				}
+			})
+			first := f.active.Upstreams[1].Name // round robin begins there
+			leaving.upstream = first
+			close(leaving.told)
+			f.MoveOn(leaving)
+			c, s := f.call(), &tokens{t: t}
+			assert.NilError(t, f.Stream(context.Background(), c, s))
+			assert.Equal(t, s.n, c.MaxTokens)
+			assert.Equal(t, f.Stats().Moved, tt.moved)
+			assert.Equal(t, imports.Load(), tt.moved)
+			assert.Equal(t, f.Stats().Imported, 640*tt.moved)
+		})
+	}
+}
--- /dev/null
+++ b/internal/dispatch/move.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/manifest"
+	"github.com/lagoonmux/lagoonmux/internal/trace"
+)
+
+const (
+	pathExport     = "/kv/export"
+	pathImport     = "/kv/import"
+	moveMargin     = time.Second     // before the end of the VM
+	unknownNotice  = 2 * time.Second // of a VM whose end is not known
+	kvTimeout      = 500 * time.Millisecond
+	minKVTokens    = 64 // below which computing them again is cheaper than two calls
+	contextUnit    = 1024.0
+	maxKVBodyBytes = 64 << 10
+	typeJSON       = "application/json"
+)
+
+// errMoved ends an attempt whose upstream leaves before the answer is whole.
+var errMoved = errors.New("moved off a leaving upstream")
+
+// Notices tells which upstreams leave. Its methods may be called from any
+// goroutine.
+type Notices interface {
+	// Leaving returns a channel that is closed while the upstream is leaving.
+	Leaving(upstream string) <-chan struct{}
+	// Deadline returns when a leaving upstream ends, zero if that is unknown,
+	// and false if it is not leaving.
+	Deadline(upstream string) (time.Time, bool)
+}
+
+// MoveOn makes streams move off upstreams that leave. It must be called before
+// the first call.
+func (d *Dispatcher) MoveOn(n Notices) { d.notices = n }
+
+// mover decides when the stream of one attempt moves off its upstream. It
+// belongs to one goroutine.
+type mover struct {
+	notices Notices // nil for a stream that never moves
+	call    *call.Call
+	peer    string // upstream
+	leaving <-chan struct{}
+	began   time.Time // first token of the attempt
+	first   int       // index of that token
+	planned bool
+	at      time.Time // zero for a stream that ends in time
+}
+
+func (d *Dispatcher) newMover(c *call.Call, u *manifest.Upstream, next int) *mover {
+	m := &mover{notices: d.notices, call: c, peer: u.Name, first: next}
+	if m.notices != nil {
+		m.leaving = m.notices.Leaving(u.Name)
+	}
+	return m
+}
+
+// due tells whether the stream must move before the token with index next.
+func (m *mover) due(now time.Time, next int) bool {
+	if !m.planned {
+		select {
+		case <-m.leaving:
+		default:
+			return false
+		}
+		m.plan(now, next)
+	}
+	return !m.at.IsZero() && !now.Before(m.at)
+}
+
+// plan chooses the time of the move within the notice. Streams with a large
+// context move first, so that the least is computed again if time runs out.
+func (m *mover) plan(now time.Time, next int) {
+	end, ok := m.notices.Deadline(m.peer)
+	if !ok {
+		return
+	}
+	m.planned = true
+	if end.IsZero() {
+		end = now.Add(unknownNotice)
+	}
+	room := end.Add(-moveMargin).Sub(now)
+	if m.left(now, next) < room {
+		return
+	}
+	held := completion.CountTokens(m.call.Prompt) + next
+	part := rand.Float64() / (1 + float64(held)/contextUnit)
+	m.at = now.Add(time.Duration(float64(max(room, 0)) * part))
+}
+
+// left estimates the time until the last token by the pace of the attempt so
+// far, or by the service's target.
+func (m *mover) left(now time.Time, next int) time.Duration {
+	between := time.Duration(m.call.Service.Target.BetweenTokensMS) * time.Millisecond
+	if n := next - m.first; n > 1 {
+		between = now.Sub(m.began) / time.Duration(n-1)
+	}
+	return time.Duration(m.call.MaxTokens-next) * between
+}
+
+// exported is a KV cache that another upstream may import.
+type exported struct {
+	From   string `json:"from"` // address
+	Handle string `json:"handle"`
+	Tokens int    `json:"-"`
+}
+
+type exportRequest struct {
+	RequestID string `json:"request_id"`
+}
+
+type exportReply struct {
+	Handle string `json:"handle"`
+	Tokens int    `json:"tokens"`
+}
+
+// export asks the upstream to make the KV cache of the call available. It
+// returns nil where that is not possible or not worth it.
+func (d *Dispatcher) export(ctx context.Context, s *attempts, u *manifest.Upstream) *exported {
+	var reply exportReply
+	err := d.postJSON(ctx, u.Address, pathExport, exportRequest{RequestID: s.call.ID}, &reply)
+	detail := "exported"
+	if err != nil {
+		detail = err.Error()
+	}
+	s.call.Trace.Add(trace.Step{At: time.Now(), Name: "move", Peer: u.Name, Attempt: s.number, Detail: detail})
+	d.stats.moved.Add(1)
+	if err != nil || reply.Tokens < minKVTokens {
+		return nil
+	}
+	return &exported{From: u.Address, Handle: reply.Handle, Tokens: reply.Tokens}
+}
+
+// importKV gives the upstream a KV cache that another exported. A failure only
+// means that the upstream computes the tokens again.
+func (d *Dispatcher) importKV(ctx context.Context, s *attempts, u *manifest.Upstream) {
+	kv := s.kv
+	s.kv = nil
+	if kv == nil || kv.From == u.Address {
+		return
+	}
+	var reply exportReply
+	if err := d.postJSON(ctx, u.Address, pathImport, kv, &reply); err != nil {
+		s.call.Trace.Add(trace.Step{At: time.Now(), Name: "import-failed", Peer: u.Name, Detail: err.Error()})
+		return
+	}
+	d.stats.imported.Add(int64(reply.Tokens))
+}
+
+// postJSON sends one short order and decodes its answer.
+func (d *Dispatcher) postJSON(ctx context.Context, address, path string, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, kvTimeout)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", path)
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.SetContentType(typeJSON)
+	req.SetBodyRaw(data)
+	x, err := d.pool.Start(ctx, address, req, true)
+	if err != nil {
+		return err
+	}
+	answer, err := x.ReadAll(maxKVBodyBytes)
+	if err != nil {
+		return err
+	}
+	if code := x.Response.StatusCode(); code != fasthttp.StatusOK {
+		return errors.Errorf("%s %s: status %d", path, address, code)
+	}
+	return errors.Wrapf(json.Unmarshal(answer, reply), "%s %s", path, address)
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -94,6 +94,7 @@
 	if err := fillEngineRequest(req, c, u, s.number, ans); err != nil {
 		return &attemptError{Peer: u.Name, Err: err}
 	}
+	d.importKV(ctx, s, u)
 	d.stats.attempts.Add(1)
 	if ans.next > 0 {
 		d.stats.resumed.Add(1)
@@ -112,6 +113,9 @@
 		return err
 	}
 	if err := d.readTokens(x, s, a, bounds, ans, sink); err != nil {
+		if errors.Is(err, errMoved) {
+			s.kv = d.export(ctx, s, u)
+		}
 		return d.abandon(s, u, x, err)
 	}
 	x.Drain(drainPatience)
@@ -141,6 +145,7 @@
 	var parser chunkParser
 	expect := time.Now()
 	x.ExpectBy(expect.Add(bounds.first))
+	move := d.newMover(s.call, a.Upstream, ans.next)
 	first := true
 	for {
 		e, err := events.Next()
@@ -161,6 +166,7 @@
 		now := time.Now()
 		if first {
 			first = false
+			move.began = now
 			a.FirstToken(now, chunk.cached)
 			s.call.Trace.Add(trace.Step{At: now, Name: trace.FirstToken, Peer: a.Upstream.Name, Attempt: s.number})
 		}
@@ -168,6 +174,9 @@
 		if err := ans.accept(e.ID, chunk, sink); err != nil {
 			return err
 		}
+		if !ans.done && move.due(now, ans.next) {
+			return errMoved
+		}
 	}
 	if !ans.done {
 		return errCut
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,7 +19,8 @@
 	;;
 esac
 DAEMONS=(1 3 5) # one in each zone; entry-1 is in $ZONE
-NOTICE=${NOTICE:-8s}     # from the notice to the end of the reclaimed VMs
+NOTICE=${NOTICE:-8s}               # from the notice to the end of the reclaimed runners
+DAEMON_NOTICE=${DAEMON_NOTICE:-8s} # and of the VM of entry-1
 
 begin "demo-$DEPLOYMENT"
 MANIFEST=$DIR/manifest.json
@@ -51,9 +52,9 @@
 start load "$BIN/lagoonstand" load --mix "$DIR/mix.json" "${CALLERS[@]}" --manifest "$MANIFEST" --control "$NET.0.1:7200" --strict
 sleep 4
 
-note "reclaim announced: every reclaimable runner of $ZONE ends in $NOTICE, and the VM of entry-1"
+note "reclaim announced: every reclaimable runner of $ZONE ends in $NOTICE, and the VM of entry-1 in $DAEMON_NOTICE"
 "$BIN/lagoonstand" reclaim --cloud "$NET.0.1:7203" --zone "$ZONE" --in "$NOTICE" || fail "reclaim"
-"$BIN/lagoonstand" reclaim --cloud "$NET.0.1:7203" --vm vm-entry-1 --in "$NOTICE" || fail "reclaim"
+"$BIN/lagoonstand" reclaim --cloud "$NET.0.1:7203" --vm vm-entry-1 --in "$DAEMON_NOTICE" || fail "reclaim"
 await entry-1 || fail "entry-1 did not shut down cleanly"
 note "entry-1 has drained and stopped"
 
