--- a/internal/daemon/cloud.go
+++ b/internal/daemon/cloud.go
@@ -22,7 +22,8 @@
 	client   *cloud.Client
 	ids      map[string]string // VM by the name of the daemon or upstream on it
 	lastList time.Time
-	trouble  string
+
+	listFails, noticeFails bool // at the last call
 }
 
 // runCloud seeds membership from the list of VMs and takes in reclaim notices
@@ -39,9 +40,9 @@
 		now := time.Now()
 		if now.Sub(w.lastList) >= w.listWait() {
 			w.lastList = now
-			w.log("list of VMs", w.readList(ctx))
+			w.log("list", &w.listFails, w.readList(ctx))
 		}
-		w.log("notices", w.readNotices(ctx))
+		w.log("notices", &w.noticeFails, w.readNotices(ctx))
 		select {
 		case <-ctx.Done():
 			return nil
@@ -55,16 +56,16 @@
 	return listEvery * time.Duration(max(1, len(w.d.members.View().Daemons)/listShare))
 }
 
-// log writes one line when a call begins to fail or succeeds again.
-func (w *cloudWatch) log(what string, err error) {
-	trouble := ""
-	if err != nil {
-		trouble = what + ": " + err.Error()
-	}
-	if (trouble == "") != (w.trouble == "") {
-		w.d.log.Warn("cloud API changed", "trouble", trouble)
+// log writes one line when a call of the cloud API begins to fail or succeeds
+// again. failing tells whether it failed last time.
+func (w *cloudWatch) log(name string, failing *bool, err error) {
+	switch {
+	case err != nil && !*failing:
+		w.d.log.Warn("cloud API call fails", "call", name, "error", err)
+	case err == nil && *failing:
+		w.d.log.Info("cloud API call succeeds again", "call", name)
 	}
-	w.trouble = trouble
+	*failing = err != nil
 }
 
 func (w *cloudWatch) readList(ctx context.Context) error {
