--- a/cmd/lagoonmux/main.go
+++ b/cmd/lagoonmux/main.go
@@ -18,6 +18,10 @@
 	"github.com/lagoonmux/lagoonmux/internal/version"
 )
 
+// procsPerCore leaves processors to Go's scheduler while event loops hold some
+// of them in blocking system calls.
+const procsPerCore = 2
+
 // Exit codes.
 const (
 	exitFailure  = 1
@@ -42,7 +46,7 @@
 	if *check {
 		return
 	}
-	runtime.GOMAXPROCS(s.Cores)
+	runtime.GOMAXPROCS(procsPerCore * s.Cores)
 	log := obs.NewLogger(os.Stderr, "lagoonmux", s.LogLevel)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -19,6 +19,7 @@
 	sweepInterval = 100 * time.Millisecond // between looks for passed deadlines
 	drainInterval = 10 * time.Millisecond  // between looks for the end of a drain
 	readBytes     = 64 << 10               // read from a socket at once
+	procsPerLoop  = 4                      // of Go's processors, each loop holds one while it waits
 )
 
 // Server is the caller port. It is a gnet event handler.
@@ -59,7 +60,7 @@
 	defer cancel()
 	go s.sweep(ctx)
 	err := gnet.Run(s, "tcp://"+address,
-		gnet.WithNumEventLoop(runtime.GOMAXPROCS(0)),
+		gnet.WithNumEventLoop(max(runtime.GOMAXPROCS(0)/procsPerLoop, 1)),
 		gnet.WithReusePort(true),
 		gnet.WithReadBufferCap(readBytes),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
