Dispatch and bench: one way to send an order, one measurement of streams

Read over the whole change: the orders to export and import a KV cache built the same request as the cancellation beside them, and the bench measured paced and fast streams by two copies of one function. Both serve from one now. A field of the exported cache that nothing read is gone. Answers to orders are read up to 4 KB, the stricter of the two bounds.

--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -74,7 +74,13 @@
 }
 
 func (e *Entry) tokens(ctx context.Context, t Target) (float64, Usage, error) {
-	s, err := OpenStreams(ctx, t, fastStreams, streamTokens)
+	return e.streams(ctx, t, fastStreams)
+}
+
+// streams measures the tokens a second of n streams and what they cost the
+// daemon.
+func (e *Entry) streams(ctx context.Context, t Target, n int) (float64, Usage, error) {
+	s, err := OpenStreams(ctx, t, n, streamTokens)
 	if err != nil {
 		return 0, Usage{}, err
 	}
@@ -124,18 +130,7 @@
 }
 
 func (e *Entry) paced(ctx context.Context, n int) (float64, Usage, error) {
-	s, err := OpenStreams(ctx, e.Paced, n, streamTokens)
-	if err != nil {
-		return 0, Usage{}, err
-	}
-	defer s.Close()
-	time.Sleep(settle)
-	var rate float64
-	use, err := e.Process.Measure(func() error {
-		rate, err = s.Rate(e.Span)
-		return err
-	})
-	return rate, use, err
+	return e.streams(ctx, e.Paced, n)
 }
 
 // IdleSlope fits memory against idle connections, which stay open until the
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -2,19 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/lagoonmux/lagoonmux/internal/upstream"
 )
 
 const (
-	pathCancel     = "/v1/cancel"
-	maxCancels     = 64
-	cancelTimeout  = time.Second
-	maxCancelBytes = 4 << 10
+	pathCancel    = "/v1/cancel"
+	maxCancels    = 64
+	cancelTimeout = time.Second
 )
 
 // canceller tells engines that the answer of an attempt is no longer wanted.
@@ -45,21 +41,8 @@
 }
 
 func (c *canceller) send(address, id string, attempt int) {
-	body, err := json.Marshal(cancelRequest{RequestID: id, Attempt: attempt})
-	if err != nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + address + pathCancel)
-	req.Header.SetContentType("application/json")
-	req.SetBodyRaw(body)
-	x, err := c.pool.Start(ctx, address, req, true)
-	if err != nil {
-		return
-	}
-	_, _ = x.ReadAll(maxCancelBytes)
+	// A cancellation that fails leaves the closed connection to tell the engine.
+	_ = postJSON(ctx, c.pool, address, pathCancel, cancelRequest{RequestID: id, Attempt: attempt}, nil)
 }
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
 	"github.com/lagoonmux/lagoonmux/internal/completion"
@@ -16,15 +14,13 @@
 )
 
 const (
-	pathExport     = "/kv/export"
-	pathImport     = "/kv/import"
-	moveMargin     = time.Second     // before the end of the VM
-	unknownNotice  = 2 * time.Second // of a VM whose end is not known
-	kvTimeout      = 500 * time.Millisecond
-	minKVTokens    = 64 // below which computing them again is cheaper than two calls
-	contextUnit    = 1024.0
-	maxKVBodyBytes = 64 << 10
-	typeJSON       = "application/json"
+	pathExport    = "/kv/export"
+	pathImport    = "/kv/import"
+	moveMargin    = time.Second     // before the end of the VM
+	unknownNotice = 2 * time.Second // of a VM whose end is not known
+	kvTimeout     = 500 * time.Millisecond
+	minKVTokens   = 64 // below which computing them again is cheaper than two calls
+	contextUnit   = 1024.0
 )
 
 // errMoved ends an attempt whose upstream leaves before the answer is whole.
@@ -112,7 +108,6 @@
 type exported struct {
 	From   string `json:"from"` // address
 	Handle string `json:"handle"`
-	Tokens int    `json:"-"`
 }
 
 type exportRequest struct {
@@ -128,7 +123,9 @@
 // returns nil where that is not possible or not worth it.
 func (d *Dispatcher) export(ctx context.Context, s *attempts, u *manifest.Upstream) *exported {
 	var reply exportReply
-	err := d.postJSON(ctx, u.Address, pathExport, exportRequest{RequestID: s.call.ID}, &reply)
+	ctx, cancel := context.WithTimeout(ctx, kvTimeout)
+	defer cancel()
+	err := postJSON(ctx, d.pool, u.Address, pathExport, exportRequest{RequestID: s.call.ID}, &reply)
 	detail := "exported"
 	if err != nil {
 		detail = err.Error()
@@ -138,7 +135,7 @@
 	if err != nil || reply.Tokens < minKVTokens {
 		return nil
 	}
-	return &exported{From: u.Address, Handle: reply.Handle, Tokens: reply.Tokens}
+	return &exported{From: u.Address, Handle: reply.Handle}
 }
 
 // importKV gives the upstream a KV cache that another exported. A failure only
@@ -150,37 +147,11 @@
 		return
 	}
 	var reply exportReply
-	if err := d.postJSON(ctx, u.Address, pathImport, kv, &reply); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, kvTimeout)
+	defer cancel()
+	if err := postJSON(ctx, d.pool, u.Address, pathImport, kv, &reply); err != nil {
 		s.call.Trace.Add(trace.Step{At: time.Now(), Name: "import-failed", Peer: u.Name, Detail: err.Error()})
 		return
 	}
 	d.stats.imported.Add(int64(reply.Tokens))
 }
-
-// postJSON sends one short order and decodes its answer.
-func (d *Dispatcher) postJSON(ctx context.Context, address, path string, body, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, kvTimeout)
-	defer cancel()
-	data, err := json.Marshal(body)
-	if err != nil {
-		return errors.Wrapf(err, "encode %s", path)
-	}
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + address + path)
-	req.Header.SetContentType(typeJSON)
-	req.SetBodyRaw(data)
-	x, err := d.pool.Start(ctx, address, req, true)
-	if err != nil {
-		return err
-	}
-	answer, err := x.ReadAll(maxKVBodyBytes)
-	if err != nil {
-		return err
-	}
-	if code := x.Response.StatusCode(); code != fasthttp.StatusOK {
-		return errors.Errorf("%s %s: status %d", path, address, code)
-	}
-	return errors.Wrapf(json.Unmarshal(answer, reply), "%s %s", path, address)
-}
--- /dev/null
+++ b/internal/dispatch/order.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/upstream"
+)
+
+const (
+	typeJSON          = "application/json"
+	maxOrderReplySize = 4 << 10 // bytes
+)
+
+// postJSON sends one short order to an upstream on a new connection and decodes
+// its answer into reply, or drops the answer if reply is nil.
+func postJSON(ctx context.Context, pool *upstream.Pool, address, path string, body, reply any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s", path)
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.SetContentType(typeJSON)
+	req.SetBodyRaw(data)
+	x, err := pool.Start(ctx, address, req, true)
+	if err != nil {
+		return err
+	}
+	answer, err := x.ReadAll(maxOrderReplySize)
+	if err != nil || reply == nil {
+		return err
+	}
+	if code := x.Response.StatusCode(); code != fasthttp.StatusOK {
+		return errors.Errorf("%s %s: status %d", path, address, code)
+	}
+	return errors.Wrapf(json.Unmarshal(answer, reply), "%s %s", path, address)
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -230,7 +230,7 @@
 	}
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + u.Address + completion.Path)
-	req.Header.SetContentType("application/json")
+	req.Header.SetContentType(typeJSON)
 	setTimeout(req, c)
 	req.SetBodyRaw(body)
 	return nil
