Ingress: sockets and framing split from the completions codec; chunked bodies are served

Cause: the platform's clients send opaque bodies with a length or in chunks; the caller port knew completions and refused chunks with 411.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/chart"
 	"github.com/lagoonmux/lagoonmux/internal/dispatch"
 	"github.com/lagoonmux/lagoonmux/internal/entry"
+	"github.com/lagoonmux/lagoonmux/internal/ingress"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/members"
 	"github.com/lagoonmux/lagoonmux/internal/obs"
@@ -42,7 +43,7 @@
 	pool       *upstream.Pool
 	admission  *admission
 	cache      *cacheWatch
-	entry      *entry.Server
+	entry      *ingress.Server
 	operator   *operator.Server
 	registry   *obs.Registry
 	table      platform.Table
@@ -119,7 +120,7 @@
 	d.registry = obs.NewRegistry(log, time.Now())
 	api := entry.NewAPI(&d.manifests, backend, d.registry, d.ready)
 	api.KeepRequests(backend)
-	d.entry = entry.NewServer(api, log.Named("entry"), entry.DefaultLimits())
+	d.entry = ingress.NewServer(api, log.Named("entry"), ingress.DefaultLimits())
 	d.operator = operator.NewServer(d, s.TLS)
 	return d
 }
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -1,3 +1,5 @@
+// Package entry is the interface for completions and plain services: it maps
+// HTTP requests to calls and calls to answers.
 package entry
 
 import (
@@ -11,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/ingress"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/obs"
 	"github.com/lagoonmux/lagoonmux/internal/trace"
@@ -70,8 +73,15 @@
 
 func refuse(status int, text string) error { return &requestError{status: status, text: text} }
 
-// Serve answers one request.
-func (a *API) Serve(ctx context.Context, x *Exchange) {
+// exchange is one request and its answer, with what was seen of it.
+type exchange struct {
+	*ingress.Exchange
+	seen obs.Request
+}
+
+// Serve implements ingress.Handler.
+func (a *API) Serve(ctx context.Context, ix *ingress.Exchange) {
+	x := &exchange{Exchange: ix}
 	path := string(x.Request.URI().Path())
 	switch {
 	case path == "/healthz":
@@ -83,7 +93,7 @@
 	}
 }
 
-func (a *API) serveReady(x *Exchange) {
+func (a *API) serveReady(x *exchange) {
 	if a.ready() && a.manifests.Load() != nil {
 		x.respondText(fasthttp.StatusOK, "ready\n")
 		return
@@ -91,7 +101,7 @@
 	x.respondText(fasthttp.StatusServiceUnavailable, "not ready\n")
 }
 
-func (a *API) serveCall(ctx context.Context, x *Exchange, path string) {
+func (a *API) serveCall(ctx context.Context, x *exchange, path string) {
 	c, err := a.newCall(x)
 	x.seen.Call = c
 	defer a.observe(x)
@@ -112,14 +122,14 @@
 }
 
 // observe reports the end of a request.
-func (a *API) observe(x *Exchange) {
-	x.seen.Gone = x.conn.out.isGone()
-	x.seen.Cut = !x.whole
+func (a *API) observe(x *exchange) {
+	x.seen.Gone = x.Gone()
+	x.seen.Cut = !x.Whole()
 	a.observer.End(&x.seen, time.Now())
 }
 
 // newCall authenticates the request and fills what all calls have in common.
-func (a *API) newCall(x *Exchange) (*call.Call, error) {
+func (a *API) newCall(x *exchange) (*call.Call, error) {
 	c := &call.Call{ID: uuid.NewString(), Arrived: x.Arrived, Trace: &trace.Trace{}}
 	c.Active = a.manifests.Load()
 	if c.Active == nil {
@@ -136,10 +146,18 @@
 	return c, nil
 }
 
-// precheck decides by the header of a request with a large body whether the
-// body is wanted. It returns 0 or the status to refuse it with, and is called
-// on event loops.
-func (a *API) precheck(h *fasthttp.RequestHeader, length int) int {
+// Refusal implements ingress.Handler.
+func (a *API) Refusal(status int) string {
+	lines := HeaderOutcome + ": " + string(call.NotRun) + "\r\n"
+	if status == fasthttp.StatusServiceUnavailable {
+		lines += HeaderRetryAfter + ": 1\r\n"
+	}
+	return lines
+}
+
+// Precheck implements ingress.Handler: a large body is wanted if its customer
+// is known and a service takes bodies of that length.
+func (a *API) Precheck(h *fasthttp.RequestHeader, length int) int {
 	active := a.manifests.Load()
 	if active == nil {
 		return fasthttp.StatusServiceUnavailable
@@ -157,7 +175,7 @@
 }
 
 // setService binds the call to a service and derives its deadline.
-func setService(x *Exchange, c *call.Call, s *manifest.Service) error {
+func setService(x *exchange, c *call.Call, s *manifest.Service) error {
 	c.Service = s
 	c.Class = s.Class
 	if len(x.Request.Body()) > s.MaxBodyBytes {
@@ -175,7 +193,7 @@
 	return nil
 }
 
-func (a *API) servePlain(ctx context.Context, x *Exchange, c *call.Call, path string) {
+func (a *API) servePlain(ctx context.Context, x *exchange, c *call.Call, path string) {
 	if err := fillPlain(x, c, path); err != nil {
 		x.respondError(c, err)
 		return
@@ -184,7 +202,7 @@
 		a.accept(ctx, x, c)
 		return
 	}
-	ctx, cancel := x.withDeadline(ctx, c.Deadline)
+	ctx, cancel := x.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	reply, err := a.backend.Plain(ctx, c)
 	if err != nil {
@@ -196,7 +214,7 @@
 	_ = x.Respond(resp)
 }
 
-func fillPlain(x *Exchange, c *call.Call, path string) error {
+func fillPlain(x *exchange, c *call.Call, path string) error {
 	name, rest, _ := strings.Cut(strings.TrimPrefix(path, servicePrefix), "/")
 	s := c.Active.Service(name)
 	if s == nil || s.Kind != manifest.Plain {
@@ -225,7 +243,7 @@
 }
 
 // answered returns the header of an answer that a call got.
-func (x *Exchange) answered(c *call.Call, status int, contentType string) *fasthttp.Response {
+func (x *exchange) answered(c *call.Call, status int, contentType string) *fasthttp.Response {
 	x.seen.Status = status
 	x.seen.Outcome = call.Answered
 	resp := fasthttp.AcquireResponse()
@@ -236,7 +254,7 @@
 	return resp
 }
 
-func (x *Exchange) respondText(status int, text string) {
+func (x *exchange) respondText(status int, text string) {
 	resp := fasthttp.AcquireResponse()
 	resp.SetStatusCode(status)
 	resp.SetBodyString(text)
@@ -244,7 +262,7 @@
 }
 
 // respondError sends the status and outcome that err stands for.
-func (x *Exchange) respondError(c *call.Call, err error) {
+func (x *exchange) respondError(c *call.Call, err error) {
 	resp := fasthttp.AcquireResponse()
 	resp.Header.Set(HeaderRequestID, c.ID)
 	resp.Header.Set(HeaderOutcome, string(call.NotRun))
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -10,6 +10,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
 	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/ingress"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/sse"
 )
@@ -29,7 +30,7 @@
 	return path == completion.Path || path == completion.ChatPath
 }
 
-func (a *API) serveModel(ctx context.Context, x *Exchange, c *call.Call, path string) {
+func (a *API) serveModel(ctx context.Context, x *exchange, c *call.Call, path string) {
 	req, err := fillModel(x, c, path)
 	if err != nil {
 		x.respondError(c, err)
@@ -43,7 +44,7 @@
 		x.respondError(c, refuse(fasthttp.StatusHTTPVersionNotSupported, "streams need HTTP/1.1"))
 		return
 	}
-	ctx, cancel := x.withDeadline(ctx, c.Deadline)
+	ctx, cancel := x.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	if req.Stream {
 		a.serveStream(ctx, x, c)
@@ -52,7 +53,7 @@
 	a.serveWhole(ctx, x, c)
 }
 
-func fillModel(x *Exchange, c *call.Call, path string) (*completion.Request, error) {
+func fillModel(x *exchange, c *call.Call, path string) (*completion.Request, error) {
 	if !x.Request.Header.IsPost() {
 		return nil, refuse(fasthttp.StatusMethodNotAllowed, "use POST")
 	}
@@ -79,7 +80,7 @@
 
 // observed is the part of a sink that reports its tokens.
 type observed struct {
-	x        *Exchange
+	x        *exchange
 	observer Observer
 }
 
@@ -108,7 +109,7 @@
 	return nil
 }
 
-func (a *API) serveWhole(ctx context.Context, x *Exchange, c *call.Call) {
+func (a *API) serveWhole(ctx context.Context, x *exchange, c *call.Call) {
 	sink := &collector{observed: observed{x: x, observer: a.observer}}
 	if err := a.backend.Stream(ctx, c, sink); err != nil {
 		x.respondError(c, err)
@@ -139,7 +140,7 @@
 		return err
 	}
 	s.note()
-	buf := sse.AppendHead(s.buf[:chunkHeadBytes], int64(t.Index))
+	buf := sse.AppendHead(s.buf[:ingress.ChunkHeadBytes], int64(t.Index))
 	buf = s.encoder.Append(buf, t.Text, t.Finish)
 	s.buf = sse.AppendEnd(buf)
 	return s.x.WriteChunk(s.buf)
@@ -151,7 +152,7 @@
 		return nil
 	}
 	s.encoder = completion.NewChunkEncoder(s.c.ID, s.c.Service.Name, s.c.Chat)
-	s.buf = make([]byte, chunkHeadBytes, streamBufferBytes)
+	s.buf = make([]byte, ingress.ChunkHeadBytes, streamBufferBytes)
 	return s.x.StartStream(s.x.answered(s.c, fasthttp.StatusOK, typeEvents))
 }
 
@@ -160,7 +161,7 @@
 	if err := s.start(); err != nil {
 		return err
 	}
-	buf := append(make([]byte, chunkHeadBytes), doneEvent...)
+	buf := append(make([]byte, ingress.ChunkHeadBytes), doneEvent...)
 	if err := s.x.WriteChunk(buf); err != nil {
 		return err
 	}
@@ -169,7 +170,7 @@
 
 // serveStream answers by server-sent events. An answer that fails after its
 // first token is cut.
-func (a *API) serveStream(ctx context.Context, x *Exchange, c *call.Call) {
+func (a *API) serveStream(ctx context.Context, x *exchange, c *call.Call) {
 	sink := &streamSink{observed: observed{x: x, observer: a.observer}, c: c}
 	err := a.backend.Stream(ctx, c, sink)
 	switch {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -43,7 +43,7 @@
 func (a *API) KeepRequests(r Requests) { a.requests = r }
 
 // wantsAsync tells whether the caller asks for an answer later (RFC 7240).
-func (a *API) wantsAsync(x *Exchange) bool {
+func (a *API) wantsAsync(x *exchange) bool {
 	if a.requests == nil {
 		return false
 	}
@@ -62,7 +62,7 @@
 }
 
 // accept keeps the call and answers 202.
-func (a *API) accept(ctx context.Context, x *Exchange, c *call.Call) {
+func (a *API) accept(ctx context.Context, x *exchange, c *call.Call) {
 	patience := acceptTimeout
 	if len(x.Request.Header.Peek(HeaderRequestTimeout)) == 0 {
 		c.Deadline = c.Arrived.Add(asyncTimeout)
@@ -83,7 +83,7 @@
 }
 
 // respondJSON sends v with the headers that resp has.
-func (x *Exchange) respondJSON(resp *fasthttp.Response, status int, v any) {
+func (x *exchange) respondJSON(resp *fasthttp.Response, status int, v any) {
 	x.seen.Status = status
 	resp.SetStatusCode(status)
 	resp.Header.SetContentType(typeJSON)
@@ -115,7 +115,7 @@
 
 // serveRequest answers with what is known of a request, or goes on with its
 // stream.
-func (a *API) serveRequest(ctx context.Context, x *Exchange, c *call.Call, id string) {
+func (a *API) serveRequest(ctx context.Context, x *exchange, c *call.Call, id string) {
 	if !x.Request.Header.IsGet() {
 		x.respondLookup(fasthttp.StatusMethodNotAllowed, errors.New("use GET"))
 		return
@@ -154,7 +154,7 @@
 	Error string `json:"error"`
 }
 
-func (x *Exchange) respondLookup(status int, err error) {
+func (x *exchange) respondLookup(status int, err error) {
 	x.respondJSON(fasthttp.AcquireResponse(), status, lookupFailure{Error: err.Error()})
 }
 
@@ -166,7 +166,7 @@
 }
 
 // follow streams the tokens after the last that the caller has.
-func (a *API) follow(ctx context.Context, x *Exchange, c *call.Call, s *serve.Status, last string) {
+func (a *API) follow(ctx context.Context, x *exchange, c *call.Call, s *serve.Status, last string) {
 	index, err := strconv.Atoi(last)
 	if err != nil || index < -1 {
 		x.respondLookup(fasthttp.StatusBadRequest, errors.New("Last-Event-ID must be the index of a token, or -1"))
--- /dev/null
+++ b/internal/framing/framing_test.go
@@ -0,0 +1,137 @@
+package framing
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestCheck(t *testing.T) {
+	for name, tt := range map[string]struct {
+		head string
+		want int
+		ok   bool
+	}{
+		"no length":               {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", UntilEnd, true},
+		"length":                  {"POST / HTTP/1.1\r\nHost: x\r\ncontent-length: 12\r\n\r\n", 12, true},
+		"chunked":                 {"POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n", Chunked, true},
+		"two equal lengths":       {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n", 0, false},
+		"list of lengths":         {"POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\n", 0, false},
+		"signed length":           {"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", 0, false},
+		"empty length":            {"POST / HTTP/1.1\r\nContent-Length:\r\n\r\n", 0, false},
+		"endless length":          {"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 0, false},
+		"length beside chunks":    {"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 0, false},
+		"chunked twice":           {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", 0, false},
+		"other coding":            {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 0, false},
+		"vertical tab in coding":  {"POST / HTTP/1.1\r\nTransfer-Encoding: \vchunked\r\n\r\n", 0, false},
+		"space before colon":      {"POST / HTTP/1.1\r\nContent-Length : 1\r\n\r\n", 0, false},
+		"folded line":             {"POST / HTTP/1.1\r\nX: a\r\n b\r\n\r\n", 0, false},
+		"bare line feed":          {"POST / HTTP/1.1\r\nX: a\nContent-Length: 1\r\n\r\n", 0, false},
+		"bare carriage return":    {"POST / HTTP/1.1\r\nX: a\rb\r\n\r\n", 0, false},
+		"zero byte":               {"POST / HTTP/1.1\r\nX: a\x00\r\n\r\n", 0, false},
+		"line without a name":     {"POST / HTTP/1.1\r\n: a\r\n\r\n", 0, false},
+		"line without a colon":    {"POST / HTTP/1.1\r\nnonsense\r\n\r\n", 0, false},
+		"empty line before end":   {"POST / HTTP/1.1\r\n\r\nX: a\r\n\r\n", 0, false},
+		"head without empty line": {"POST / HTTP/1.1\r\nX: a\r\n", 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, err := Check([]byte(tt.head))
+			assert.Equal(t, err == nil, tt.ok, "%v", err)
+			if tt.ok {
+				assert.Equal(t, h.Length, tt.want)
+			}
+		})
+	}
+}
+
+// decode feeds text in pieces of the given size.
+func decode(text string, size int) (body string, left string, done bool, err error) {
+	var c Chunks
+	var dst []byte
+	src := []byte(text)
+	for len(src) > 0 && err == nil && !c.Done() {
+		n := min(size, len(src))
+		var used int
+		dst, used, err = c.Decode(dst, src[:n])
+		src = src[used:]
+	}
+	return string(dst), string(src), c.Done(), err
+}
+
+func TestChunks(t *testing.T) {
+	for name, tt := range map[string]struct {
+		text, body, left string
+		done, ok         bool
+	}{
+		"two chunks":           {"3\r\nabc\r\nA\r\n0123456789\r\n0\r\n\r\nGET", "abc0123456789", "GET", true, true},
+		"trailers":             {"1\r\na\r\n0\r\nX: y\r\n\r\n", "a", "", true, true},
+		"cut":                  {"3\r\nab", "ab", "", false, true},
+		"size with a sign":     {"+3\r\nabc\r\n0\r\n\r\n", "", "", false, false},
+		"size with 0x":         {"0x3\r\nabc\r\n0\r\n\r\n", "", "", false, false},
+		"extension":            {"3;a=b\r\nabc\r\n0\r\n\r\n", "", "", false, false},
+		"empty size":           {"\r\nabc\r\n0\r\n\r\n", "", "", false, false},
+		"bare line feed":       {"3\nabc\r\n0\r\n\r\n", "", "", false, false},
+		"longer than its size": {"3\r\nabcd\r\n0\r\n\r\n", "abc", "", false, false},
+		"endless size line":    {strings.Repeat("0", 300) + "\r\n", "", "", false, false},
+		"huge size":            {"ffffffff\r\n", "", "", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, size := range []int{1, 2, 1000} {
+				body, left, done, err := decode(tt.text, size)
+				assert.Equal(t, err == nil, tt.ok, "%v", err)
+				assert.Equal(t, done, tt.done)
+				if tt.ok {
+					assert.Equal(t, body, tt.body)
+					assert.Equal(t, left, tt.left)
+				}
+			}
+		})
+	}
+}
+
+// FuzzChunks checks that pieces of any size decode to the same.
+func FuzzChunks(f *testing.F) {
+	f.Add("3\r\nabc\r\n0\r\n\r\nGET", 2)
+	f.Add("5;x\r\nabc", 1)
+	f.Fuzz(func(t *testing.T, text string, size int) {
+		whole, left, done, err := decode(text, max(len(text), 1))
+		body, left2, done2, err2 := decode(text, 1+abs(size)%7)
+		assert.Equal(t, err == nil, err2 == nil)
+		if err == nil {
+			assert.Equal(t, body, whole)
+			assert.Equal(t, done, done2)
+			assert.Equal(t, left, left2)
+		}
+	})
+}
+
+// FuzzCheck checks that no accepted head has two readings of its length.
+func FuzzCheck(f *testing.F) {
+	f.Add("POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		h, err := Check([]byte(text))
+		if err != nil {
+			return
+		}
+		lengths, codings := 0, 0
+		Fields([]byte(text), func(name, _ []byte) {
+			switch strings.ToLower(string(name)) {
+			case "content-length":
+				lengths++
+			case "transfer-encoding":
+				codings++
+			}
+		})
+		assert.Assert(t, lengths+codings <= 1)
+		assert.Equal(t, lengths == 1, h.Length >= 0)
+	})
+}
+
+func abs(n int) int {
+	if n < 0 {
+		return max(-n, 0)
+	}
+	return n
+}
--- a/internal/entry/conn.go
+++ b/internal/ingress/conn.go
@@ -1,4 +1,4 @@
-package entry
+package ingress
 
 import (
 	"bufio"
@@ -13,7 +13,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
 
-	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/framing"
 )
 
 const (
@@ -21,8 +21,6 @@
 	smallBodyBytes = 64 << 10    // a larger body is checked and counted before it is received
 )
 
-var headerEnd = []byte("\r\n\r\n")
-
 // phase is what a connection is doing.
 type phase int
 
@@ -40,12 +38,14 @@
 	server   *Server
 	gc       gnet.Conn
 	phase    phase
-	scanned  int       // bytes searched for the end of the header
-	exchange *Exchange // being received or answered
-	missing  int       // bytes of the body
+	scanned  int             // bytes searched for the end of the header
+	exchange *Exchange       // being received or answered
+	missing  int             // bytes of the body
+	chunks   *framing.Chunks // decodes a body in chunks; nil for others
 	closed   bool
 	closing  bool // close once the caller has read its answer
 
+	since    atomic.Int64 // unix nanoseconds, when the phase began; any goroutine
 	deadline atomic.Int64 // unix nanoseconds; 0 for none; any goroutine
 	active   atomic.Bool  // a request is arriving or being answered; any goroutine
 	flushing atomic.Bool  // the caller has not read the last answer; any goroutine
@@ -55,19 +55,21 @@
 func newConn(s *Server, gc gnet.Conn) *conn {
 	c := &conn{server: s, gc: gc}
 	c.out.conn = c
-	c.enter(idle, s.limits.IdleTimeout)
+	c.enter(idle, s.limits.Load().IdleTimeout)
 	return c
 }
 
 // enter changes the phase; a timeout of 0 sets no deadline.
 func (c *conn) enter(p phase, timeout time.Duration) {
 	c.phase = p
+	now := time.Now()
+	c.since.Store(now.UnixNano())
 	c.active.Store(p == inHeader || p == inBody || p == answering)
 	if timeout == 0 {
 		c.deadline.Store(0)
 		return
 	}
-	c.deadline.Store(time.Now().Add(timeout).UnixNano())
+	c.deadline.Store(now.Add(timeout).UnixNano())
 }
 
 // receive takes in what has arrived.
@@ -77,7 +79,7 @@
 		_, _ = c.gc.Discard(-1)
 		return gnet.None
 	case answering:
-		if c.gc.InboundBuffered() > c.server.limits.PipelinedBytes {
+		if c.gc.InboundBuffered() > c.server.limits.Load().PipelinedBytes {
 			return gnet.Close
 		}
 		return gnet.None
@@ -97,12 +99,12 @@
 	}
 	if c.phase == idle {
 		c.scanned = 0
-		c.enter(inHeader, c.server.limits.HeaderTimeout)
+		c.enter(inHeader, c.server.limits.Load().HeaderTimeout)
 	}
-	limit := c.server.limits.HeaderBytes
+	limit := c.server.limits.Load().HeaderBytes
 	data, _ := c.gc.Peek(min(c.gc.InboundBuffered(), limit))
-	from := max(c.scanned-len(headerEnd)+1, 0)
-	end := bytes.Index(data[from:], headerEnd)
+	from := max(c.scanned-len(framing.HeadEnd)+1, 0)
+	end := bytes.Index(data[from:], framing.HeadEnd)
 	c.scanned = len(data)
 	if end < 0 {
 		if len(data) >= limit {
@@ -110,10 +112,11 @@
 		}
 		return false
 	}
-	length := from + end + len(headerEnd)
+	length := from + end + len(framing.HeadEnd)
 	x := newExchange(c)
-	status := readHeader(&x.Request.Header, data[:length])
+	x.head = append(x.head, data[:length]...)
 	_, _ = c.gc.Discard(length)
+	status := readHeader(&x.Request.Header, x.head)
 	if status == 0 {
 		status = c.accept(x)
 	}
@@ -150,21 +153,26 @@
 	if buf.Buffered() > 0 || r.src.Len() > 0 {
 		return fasthttp.StatusBadRequest // an earlier end of the header that not all parties would see
 	}
-	if h.ContentLength() == -1 {
-		return fasthttp.StatusLengthRequired
-	}
 	return 0
 }
 
 // accept decides by its header whether the body of a request is wanted.
 func (c *conn) accept(x *Exchange) int {
-	length := max(x.Request.Header.ContentLength(), 0)
-	if length > c.server.limits.BodyBytes {
+	head, err := framing.Check(x.head)
+	if err != nil || head.Hosts > 1 {
+		return fasthttp.StatusBadRequest
+	}
+	c.chunks = nil
+	if head.Length == framing.Chunked {
+		c.chunks = new(framing.Chunks)
+	}
+	length := max(head.Length, 0)
+	if length > c.server.limits.Load().BodyBytes {
 		return fasthttp.StatusRequestEntityTooLarge
 	}
 	expects := x.Request.MayContinue()
 	if length > smallBodyBytes || expects {
-		if status := c.server.api.precheck(&x.Request.Header, length); status != 0 {
+		if status := c.server.handler.Precheck(&x.Request.Header, length); status != 0 {
 			return status
 		}
 	}
@@ -176,7 +184,7 @@
 	}
 	c.exchange = x
 	c.missing = length
-	limits := &c.server.limits
+	limits := c.server.limits.Load()
 	c.enter(inBody, limits.BodyTimeout+time.Duration(length/limits.BodyRate)*time.Second)
 	return 0
 }
@@ -185,12 +193,12 @@
 // whole.
 func (c *conn) receiveBody() {
 	x := c.exchange
-	if n := min(c.missing, c.gc.InboundBuffered()); n > 0 {
-		data, _ := c.gc.Next(n)
-		x.body = append(x.body, data...)
-		c.missing -= n
+	whole, status := c.takeBody(x)
+	if status != 0 {
+		c.refuse(status)
+		return
 	}
-	if c.missing > 0 {
+	if !whole {
 		return
 	}
 	x.Request.SetBodyRaw(x.body)
@@ -198,14 +206,43 @@
 	c.server.start(x)
 }
 
+// takeBody reports whether the body is whole, or the status to refuse it with.
+func (c *conn) takeBody(x *Exchange) (bool, int) {
+	if c.chunks != nil {
+		return c.takeChunks(x)
+	}
+	if n := min(c.missing, c.gc.InboundBuffered()); n > 0 {
+		data, _ := c.gc.Next(n)
+		x.body = append(x.body, data...)
+		c.missing -= n
+	}
+	return c.missing == 0, 0
+}
+
+// takeChunks is takeBody for a body in chunks, whose bytes are counted as they
+// come.
+func (c *conn) takeChunks(x *Exchange) (bool, int) {
+	data, _ := c.gc.Peek(c.gc.InboundBuffered())
+	body, used, err := c.chunks.Decode(x.body, data)
+	x.body = body
+	_, _ = c.gc.Discard(used)
+	switch {
+	case err != nil:
+		return false, fasthttp.StatusBadRequest
+	case len(body) > c.server.limits.Load().BodyBytes:
+		return false, fasthttp.StatusRequestEntityTooLarge
+	}
+	if grown := len(body) - int(x.reserved); len(body) > smallBodyBytes && grown > 0 && !c.server.reserve(x, grown) {
+		return false, fasthttp.StatusServiceUnavailable
+	}
+	return c.chunks.Done(), 0
+}
+
 // refuse answers a request that cannot be read on and closes the connection
 // once the caller had time to take the answer.
 func (c *conn) refuse(status int) {
 	head := "HTTP/1.1 " + strconv.Itoa(status) + " " + fasthttp.StatusMessage(status) +
-		"\r\nConnection: close\r\nContent-Length: 0\r\n" + HeaderOutcome + ": " + string(call.NotRun) + "\r\n"
-	if status == fasthttp.StatusServiceUnavailable {
-		head += HeaderRetryAfter + ": 1\r\n"
-	}
+		"\r\nConnection: close\r\nContent-Length: 0\r\n" + c.server.handler.Refusal(status)
 	_, _ = c.gc.Write([]byte(head + "\r\n"))
 	if c.closed {
 		return
@@ -239,10 +276,10 @@
 	c.flushing.Store(c.gc.OutboundBuffered() > 0 && !cut)
 	switch {
 	case !c.closing:
-		c.enter(idle, c.server.limits.IdleTimeout)
+		c.enter(idle, c.server.limits.Load().IdleTimeout)
 		_ = c.receive()
 	case c.flushing.Load():
-		c.enter(lingering, c.server.limits.ReaderTimeout)
+		c.enter(lingering, c.server.limits.Load().ReaderTimeout)
 	default:
 		c.enter(lingering, lingerTimeout)
 		_ = c.gc.Close()
@@ -262,6 +299,9 @@
 			return c.gc.Close()
 		}
 	}
+	if c.phase == idle && c.gc.InboundBuffered() == 0 && c.server.unwanted(c, time.Now().UnixNano()) {
+		return c.gc.Close()
+	}
 	if d := c.deadline.Load(); d == 0 || time.Now().UnixNano() < d {
 		return nil
 	}
--- a/internal/entry/exchange.go
+++ b/internal/ingress/exchange.go
@@ -1,4 +1,4 @@
-package entry
+package ingress
 
 import (
 	"context"
@@ -8,8 +8,6 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
-
-	"github.com/lagoonmux/lagoonmux/internal/obs"
 )
 
 // Exchange is one request and its answer. It belongs to the task that serves
@@ -18,10 +16,10 @@
 	Request *fasthttp.Request
 	Arrived time.Time
 
-	seen     obs.Request
 	conn     *conn
 	ctx      context.Context // ends when the caller is gone or out of patience
 	cancel   context.CancelFunc
+	head     []byte // as received
 	body     []byte
 	reserved int64 // bytes counted for a large body
 	close    bool  // the connection ends with this answer
@@ -33,6 +31,16 @@
 	return &Exchange{Request: fasthttp.AcquireRequest(), Arrived: time.Now(), conn: c, ctx: ctx, cancel: cancel}
 }
 
+// Head returns the head of the request as it was received. It is valid until
+// the task ends.
+func (x *Exchange) Head() []byte { return x.head }
+
+// Gone tells whether the caller has closed the connection.
+func (x *Exchange) Gone() bool { return x.conn.out.isGone() }
+
+// Whole tells whether the answer was passed on to its end.
+func (x *Exchange) Whole() bool { return x.whole }
+
 // release frees what the exchange holds.
 func (x *Exchange) release() {
 	x.cancel()
@@ -51,9 +59,9 @@
 	}
 }
 
-// withDeadline ends waits for the caller to read at the deadline of its call,
+// WithDeadline ends waits for the caller to read at the deadline of its call,
 // as the returned context does for its upstream.
-func (x *Exchange) withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+func (x *Exchange) WithDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	x.ctx = ctx
 	return ctx, cancel
@@ -82,16 +90,16 @@
 	return x.write(resp.Header.Header())
 }
 
-// chunkHeadBytes is the room that WriteChunk needs before its data.
-const chunkHeadBytes = 10
+// ChunkHeadBytes is the room that WriteChunk needs before its data.
+const ChunkHeadBytes = 10
 
 // WriteChunk sends a part of a streamed response. The data starts at
-// chunkHeadBytes in buf; the room before it is overwritten.
+// ChunkHeadBytes in buf; the room before it is overwritten.
 func (x *Exchange) WriteChunk(buf []byte) error {
-	var head [chunkHeadBytes]byte
-	h := strconv.AppendInt(head[:0], int64(len(buf)-chunkHeadBytes), 16)
+	var head [ChunkHeadBytes]byte
+	h := strconv.AppendInt(head[:0], int64(len(buf)-ChunkHeadBytes), 16)
 	h = append(h, "\r\n"...)
-	start := chunkHeadBytes - len(h)
+	start := ChunkHeadBytes - len(h)
 	copy(buf[start:], h)
 	return x.write(append(buf, "\r\n"...)[start:])
 }
@@ -110,7 +118,7 @@
 // write queues data on the connection's event loop. It waits while the caller
 // reads too slowly, and fails when the caller is gone.
 func (x *Exchange) write(data []byte) error {
-	limits := &x.conn.server.limits
+	limits := x.conn.server.limits.Load()
 	if err := x.conn.out.wait(x.ctx, limits.OutboundBytes, limits.ReaderTimeout); err != nil {
 		return err
 	}
--- a/internal/entry/outbox.go
+++ b/internal/ingress/outbox.go
@@ -1,4 +1,4 @@
-package entry
+package ingress
 
 import (
 	"context"
--- a/internal/entry/server.go
+++ b/internal/ingress/server.go
@@ -1,6 +1,7 @@
-// Package entry serves callers: it reads HTTP/1.1 requests from sockets owned
-// by gnet, runs each in a task of its own, and writes the answers in order.
-package entry
+// Package ingress serves callers: it reads HTTP/1.1 requests from sockets owned
+// by gnet, runs each in a task of its own, and writes the answers in order. What
+// the requests mean is the business of its Handler.
+package ingress
 
 import (
 	"context"
@@ -19,15 +20,29 @@
 	sweepInterval = 100 * time.Millisecond // between looks for passed deadlines
 	drainInterval = 10 * time.Millisecond  // between looks for the end of a drain
 	readBytes     = 64 << 10               // read from a socket at once
+	lateGrace     = 300 * time.Millisecond // for a request on a connection that was opened late in a drain
 	procsPerLoop  = 4                      // of Go's processors, each loop holds one while it waits
 )
 
+// Handler gives requests their meaning. Serve is called in a task of each
+// request and must answer it, the others on event loops.
+type Handler interface {
+	// Serve answers x. ctx ends when the caller is gone.
+	Serve(ctx context.Context, x *Exchange)
+	// Precheck decides by the header of a request with a large body whether the
+	// body is wanted. It returns 0 or the status to refuse it with.
+	Precheck(h *fasthttp.RequestHeader, length int) int
+	// Refusal returns the header lines of an answer with status to a request that
+	// could not be read, each with its line end.
+	Refusal(status int) string
+}
+
 // Server is the caller port. It is a gnet event handler.
 type Server struct {
 	gnet.BuiltinEventEngine
-	api      *API
+	handler  Handler
 	log      hclog.Logger
-	limits   Limits
+	limits   atomic.Pointer[Limits]
 	engine   gnet.Engine
 	booted   chan struct{}
 	ended    chan struct{} // closed when Run returns
@@ -35,23 +50,41 @@
 	draining atomic.Bool
 	reserved atomic.Int64 // bytes of large bodies
 	refused  atomic.Int64 // requests that could not be read
+	idleEnd  atomic.Int64 // unix nanoseconds after which a drain closes idle connections; 0 before a drain
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
 
-// NewServer returns a server that answers by api within limits.
-func NewServer(api *API, log hclog.Logger, limits Limits) *Server {
-	return &Server{
-		api:    api,
-		log:    log,
-		limits: limits,
-		booted: make(chan struct{}),
-		ended:  make(chan struct{}),
-		conns:  make(map[*conn]struct{}),
+// NewServer returns a server that answers by handler within limits.
+func NewServer(handler Handler, log hclog.Logger, limits Limits) *Server {
+	s := &Server{
+		handler: handler,
+		log:     log,
+		booted:  make(chan struct{}),
+		ended:   make(chan struct{}),
+		conns:   make(map[*conn]struct{}),
 	}
+	s.SetLimits(limits)
+	return s
 }
 
+// SetLimits puts limits into force for what is read from now on. Any goroutine
+// may call it.
+func (s *Server) SetLimits(limits Limits) { s.limits.Store(&limits) }
+
+// Booted is closed once the port is open.
+func (s *Server) Booted() <-chan struct{} { return s.booted }
+
+// Ended is closed when Run returns.
+func (s *Server) Ended() <-chan struct{} { return s.ended }
+
+// Draining tells whether Stop has been called.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// ReservedBytes returns the bytes of large bodies that are held or awaited.
+func (s *Server) ReservedBytes() int64 { return s.reserved.Load() }
+
 // Run listens on address until Stop. It returns an error if it cannot listen,
 // and may be called once.
 func (s *Server) Run(address string) error {
@@ -83,7 +116,8 @@
 		return nil
 	default:
 	}
-	grace := time.Now().Add(s.limits.DrainGrace)
+	grace := time.Now().Add(s.limits.Load().DrainGrace)
+	s.idleEnd.Store(grace.UnixNano())
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil && !s.drained(time.Now().After(grace)) {
@@ -134,7 +168,7 @@
 	gc.SetContext(c)
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
-	full := len(s.conns) > s.limits.Connections
+	full := len(s.conns) > s.limits.Load().Connections
 	s.mu.Unlock()
 	if full {
 		c.refuse(fasthttp.StatusServiceUnavailable)
@@ -165,18 +199,18 @@
 	s.tasks.Add(1)
 	go func() {
 		defer s.tasks.Done()
-		s.api.Serve(x.ctx, x)
+		s.handler.Serve(x.ctx, x)
 		x.finish()
 	}()
 }
 
 // reserve counts a large body; it fails when too many bytes are counted.
 func (s *Server) reserve(x *Exchange, length int) bool {
-	if s.reserved.Add(int64(length)) > s.limits.BufferedBodyBytes {
+	if s.reserved.Add(int64(length)) > s.limits.Load().BufferedBodyBytes {
 		s.reserved.Add(-int64(length))
 		return false
 	}
-	x.reserved = int64(length)
+	x.reserved += int64(length)
 	return true
 }
 
@@ -205,13 +239,20 @@
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		d := c.deadline.Load()
-		if c.flushing.Load() || d != 0 && d <= now {
+		if c.flushing.Load() || d != 0 && d <= now || s.unwanted(c, now) {
 			list = append(list, c)
 		}
 	}
 	return list
 }
 
+// unwanted tells whether a drain closes c, on which no request is under way. A
+// connection that was just opened or used gets some time for one more.
+func (s *Server) unwanted(c *conn, now int64) bool {
+	end := s.idleEnd.Load()
+	return end != 0 && end <= now && !c.active.Load() && c.since.Load()+int64(lateGrace) <= now
+}
+
 // quietLogger drops gnet's own log lines.
 type quietLogger struct{}
 
