--- a/cmd/lagoonmux/main.go
+++ b/cmd/lagoonmux/main.go
@@ -11,11 +11,13 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
 
 	"github.com/lagoonmux/lagoonmux/internal/daemon"
 	"github.com/lagoonmux/lagoonmux/internal/obs"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
 	"github.com/lagoonmux/lagoonmux/internal/version"
+	"github.com/lagoonmux/lagoonmux/platform"
 )
 
 // procsPerCore leaves processors to Go's scheduler while event loops hold some
@@ -29,21 +31,30 @@
 )
 
 func main() {
-	app := kingpin.New("lagoonmux", "Serves callers from reclaimable VMs: routes requests to upstreams by the manifest in force.\n\n"+
+	app := kingpin.New("lagoonmux", "Serves callers from reclaimable VMs: routes requests to upstreams by the configuration in force.\n\n"+
 		"SIGTERM stops it gracefully: it reports not ready, finishes the requests in flight and exits.\n\n"+
 		"Exit codes: 0 stopped, 1 failed, 2 the settings violate a rule.")
 	app.UsageWriter(os.Stdout)
 	app.Version(version.Version)
-	file := app.Flag("settings", "File with the settings of this VM, JSON with comments.").Short('s').Required().String()
-	check := app.Flag("check", "Validate the settings and exit.").Bool()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	serve := app.Command("serve", "Serve callers of completions and plain services by a manifest.").Default()
+	file := serve.Flag("settings", "File with the settings of this VM, JSON with comments.").Short('s').Required().String()
+	check := serve.Flag("check", "Validate the settings and exit.").Bool()
+	onPlatform := app.Command("platform", "Serve on the users' platform; "+platform.FileVariable+" names the settings file.")
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case serve.FullCommand():
+		runServe(*file, *check)
+	case onPlatform.FullCommand():
+		runPlatform()
+	}
+}
 
-	s, err := settings.Load(*file)
+func runServe(file string, check bool) {
+	s, err := settings.Load(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitSettings)
 	}
-	if *check {
+	if check {
 		return
 	}
 	runtime.GOMAXPROCS(procsPerCore * s.Cores)
@@ -51,6 +62,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	d := daemon.New(s, log)
+	publish(d)
+	if err := d.Run(ctx); err != nil {
+		log.Error("daemon failed", "error", err)
+		os.Exit(exitFailure)
+	}
+}
+
+func publish(d *daemon.Daemon) {
 	expvar.Publish("control_bytes", expvar.Func(func() any {
 		sent, received := d.Traffic()
 		return sent + received
@@ -59,8 +78,36 @@
 	expvar.Publish("lagoonmux.routing", expvar.Func(func() any { return d.RoutingStats() }))
 	expvar.Publish("lagoonmux.limits", expvar.Func(func() any { return d.LimitStats() }))
 	expvar.Publish("lagoonmux.ledger", expvar.Func(func() any { return d.LedgerStats() }))
-	if err := d.Run(ctx); err != nil {
+}
+
+// platformProcs is Go's processors on the platform's VMs of one core: the event
+// loop and calls of the system hold some while they wait.
+const platformProcs = 4
+
+func runPlatform() {
+	runtime.GOMAXPROCS(platformProcs)
+	sink := obs.NewSink(os.Stdout)
+	log := obs.NewLogger(sink, "lagoonmux", "")
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	err := platform.Run(ctx, reload, log)
+	if err != nil {
 		log.Error("daemon failed", "error", err)
-		os.Exit(exitFailure)
 	}
+	sink.Close()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+// exitCode tells violated settings from other failures.
+func exitCode(err error) int {
+	var se *platform.SettingsError
+	if errors.As(err, &se) {
+		return exitSettings
+	}
+	return exitFailure
 }
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,184 @@
+// Package catalog holds the configuration in force: routes, services, customers
+// and limits, with the look-ups that each request needs. A Config is immutable.
+package catalog
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be done with a request more than once.
+type Kind int
+
+// Kinds of requests.
+const (
+	Repeatable Kind = iota // may run more than once
+	Once                   // may run at most once
+	Stream                 // is answered by events; may run at most once unless resumable
+)
+
+// String returns the name used in logs.
+func (k Kind) String() string { return [...]string{"repeatable", "once", "stream"}[k] }
+
+// Target is a service to which a part of a route's requests go.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route tells how requests of one host and path prefix are served.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Kind        Kind
+	Resumable   bool // a stream may go on at another upstream
+	Open        bool // needs no customer key
+	Sticky      bool // requests carry prompts
+	Timeout     time.Duration
+	Target      time.Duration // to the answer or first event for full credit
+	GapTarget   time.Duration // between events
+	Priority    int           // 0 is the highest
+	MaxAttempts int           // upstreams to which one request may be sent
+	Targets     []Target
+}
+
+// MayRepeat tells whether a request that may have run can be sent again.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Repeatable || r.Kind == Stream && r.Resumable
+}
+
+// Service chooses the service of a request; the same id gives the same choice.
+func (r *Route) Service(id string) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		return r.Targets[0].Service
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	n := int(h.Sum32() % uint32(total))
+	for _, t := range r.Targets {
+		if n -= t.Weight; n < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[0].Service
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots       int
+	CacheTokens int // memory for running requests and kept prompts
+}
+
+// Scaling tells how many upstreams of a service may be ordered.
+type Scaling struct {
+	Min, Max     int // per availability zone, of both kinds together
+	Boot         time.Duration
+	ReclaimPrice float64            // of a reclaimable upstream, as part of the full price; 0 where there are none
+	ZonePrices   map[string]float64 // per second
+}
+
+// Service is a group of equal upstreams.
+type Service struct {
+	Name     string
+	MaxConns int      // connections that an upstream accepts from all daemons
+	Engine   *Engine  // nil for a plain service
+	Scaling  *Scaling // nil where none are ordered
+}
+
+// Customer is one who sends requests.
+type Customer struct {
+	Name        string
+	Priority    int // -1: that of the route
+	ByTokens    bool
+	PlainTokens float64 // cost of a request that names no tokens
+	Rate        float64 // requests or tokens a second over all daemons; 0 for no limit
+	Burst       float64
+}
+
+// Limits bounds what a caller may send; zero fields leave the default.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version   int64
+	Limits    Limits
+	Services  map[string]*Service
+	Customers []*Customer
+
+	keys   map[string]*Customer
+	routes map[string][]*Route // by host, longest prefix first
+	keyed  bool
+}
+
+// Builder collects the parts of a Config.
+type Builder struct{ c *Config }
+
+// NewBuilder starts a configuration.
+func NewBuilder(version int64, limits Limits) *Builder {
+	return &Builder{c: &Config{
+		Version:  version,
+		Limits:   limits,
+		Services: make(map[string]*Service),
+		keys:     make(map[string]*Customer),
+		routes:   make(map[string][]*Route),
+	}}
+}
+
+// AddRoute adds a route.
+func (b *Builder) AddRoute(r *Route) {
+	host := strings.ToLower(r.Host)
+	b.c.routes[host] = append(b.c.routes[host], r)
+}
+
+// AddService adds a service.
+func (b *Builder) AddService(s *Service) { b.c.Services[s.Name] = s }
+
+// AddCustomer adds a customer with its keys. From the first one on, requests
+// need a key.
+func (b *Builder) AddCustomer(c *Customer, keys []string) {
+	b.c.keyed = true
+	b.c.Customers = append(b.c.Customers, c)
+	for _, k := range keys {
+		b.c.keys[k] = c
+	}
+}
+
+// Build returns the configuration. The builder must not be used after it.
+func (b *Builder) Build() *Config {
+	for _, list := range b.c.routes {
+		slices.SortStableFunc(list, func(x, y *Route) int { return cmp.Compare(len(y.Prefix), len(x.Prefix)) })
+	}
+	return b.c
+}
+
+// Route returns the route of a request, or nil. The port of host, if any, is
+// ignored.
+func (c *Config) Route(host, path string) *Route {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	path, _, _ = strings.Cut(path, "?")
+	for _, r := range c.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// NeedsKey tells whether requests on r need a customer key.
+func (c *Config) NeedsKey(r *Route) bool { return c.keyed && !r.Open }
+
+// Customer returns the holder of a key, or nil.
+func (c *Config) Customer(key string) *Customer { return c.keys[key] }
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"sync"
+
+	"github.com/lagoonmux/lagoonmux/internal/capacity"
+	"github.com/lagoonmux/lagoonmux/internal/roster"
+	"github.com/lagoonmux/lagoonmux/internal/views"
+)
+
+// fleet turns entries of upstreams into the roster in force.
+type fleet struct {
+	node *Node
+
+	mu      sync.Mutex
+	rows    map[string]views.Row
+	decoded map[string]decoded
+	ros     *roster.Roster
+}
+
+// decoded is an entry that was translated once.
+type decoded struct {
+	version  int64
+	upstream *roster.Upstream // nil for an entry that names none
+}
+
+func newFleet(n *Node) *fleet {
+	return &fleet{node: n, decoded: make(map[string]decoded), ros: roster.New(nil)}
+}
+
+// onEntries takes in all entries.
+func (f *fleet) onEntries(rows map[string]views.Row) {
+	f.mu.Lock()
+	f.rows = rows
+	f.mu.Unlock()
+	f.rebuild()
+}
+
+// rebuild puts a roster of the entries into force.
+func (f *fleet) rebuild() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := make(map[string]decoded, len(f.rows))
+	var list []*roster.Upstream
+	for id, row := range f.rows {
+		d, ok := f.decoded[id]
+		if !ok || d.version != row.Version {
+			d = f.decode(id, row, d.upstream)
+		}
+		next[id] = d
+		if d.upstream != nil {
+			list = append(list, d.upstream)
+		}
+	}
+	for id, d := range f.decoded {
+		if _, ok := next[id]; !ok && d.upstream != nil {
+			f.node.log.Info("upstream gone", "upstream", id, "service", d.upstream.Service, "entry", d.version)
+		}
+	}
+	f.decoded = next
+	f.ros = roster.New(list)
+	f.node.placer.Update(f.ros, f.cacheTokens)
+}
+
+// decode translates one entry and logs what it changes.
+func (f *fleet) decode(id string, row views.Row, old *roster.Upstream) decoded {
+	u, err := f.node.DecodeUpstream(id, row.Value, row.Version)
+	log := f.node.log
+	switch {
+	case err != nil:
+		log.Warn("entry names no upstream", "upstream", id, "entry", row.Version, "error", err)
+		return decoded{version: row.Version}
+	case old == nil:
+		log.Info("upstream known", "upstream", id, "service", u.Service, "zone", u.Zone, "address", u.Address,
+			"leaving", u.Leaving, "reclaimable", u.Reclaimable, "entry", row.Version)
+	case old.Born != u.Born:
+		log.Info("upstream started again", "upstream", id, "born", u.Born, "entry", row.Version)
+	case old.Leaving != u.Leaving:
+		log.Info("upstream leaves", "upstream", id, "leaving", u.Leaving, "leaves_in", u.LeavesIn, "entry", row.Version)
+	}
+	return decoded{row.Version, u}
+}
+
+// cacheTokens returns the memory of a service's engines.
+func (f *fleet) cacheTokens(service string) int {
+	c := f.node.proxy.Catalog()
+	if c == nil {
+		return 0
+	}
+	if s := c.Services[service]; s != nil && s.Engine != nil {
+		return s.Engine.CacheTokens
+	}
+	return 0
+}
+
+// usable tells whether any upstream takes requests.
+func (f *fleet) usable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, u := range f.ros.All() {
+		if !u.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// have counts the upstreams that take requests.
+func (f *fleet) have() map[capacity.Place]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := make(map[capacity.Place]int)
+	for _, u := range f.ros.All() {
+		if !u.Leaving {
+			count[capacity.Place{Service: u.Service, Zone: u.Zone, Kind: capacity.Kind(u.Reclaimable)}]++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/node/fleetduty.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/boottime"
+	"github.com/lagoonmux/lagoonmux/internal/capacity"
+	"github.com/lagoonmux/lagoonmux/internal/duty"
+)
+
+// planAfter is how long the load must have been seen before upstreams are
+// ordered by it.
+const planAfter = 4 * time.Second
+
+// newDuty makes the daemon compete for the fleet duty.
+func (n *Node) newDuty() {
+	planner := capacity.NewPlanner()
+	var since time.Duration // boot time of the first load
+	n.duty = duty.New(duty.Config{
+		Name:  n.Name,
+		Born:  n.born,
+		Lease: n.Lease,
+		Log:   n.log.Named("duty"),
+		Store: n.Store,
+		Cloud: n.Cloud,
+		Clock: n.Clock,
+		Usage: n.usage,
+		Held:  n.dutyHeld,
+		Complete: func() bool {
+			all, touched := n.mesh.Count()
+			return all == touched
+		},
+		EpochMS: n.epochMS,
+		Have:    n.fleet.have,
+		Plan: func() map[capacity.Place]int {
+			now := boottime.Now()
+			if !n.OrdersUpstreams || n.proxy.Catalog() == nil {
+				return nil
+			}
+			work := n.totalWork(now)
+			if since == 0 && len(work) > 0 {
+				since = now
+			}
+			if since == 0 || now-since < planAfter {
+				return nil
+			}
+			plan := make(map[capacity.Place]int)
+			for name, s := range n.proxy.Catalog().Services {
+				d := capacity.Demand{Service: s, Zones: n.serviceZones(name), Work: work[name]}
+				for p, count := range planner.Plan(d, now) {
+					plan[p] = count
+				}
+			}
+			return plan
+		},
+		Reports: n.ReportsUsage,
+	})
+}
+
+// dutyHeld tells whether another daemon in touch holds the duty.
+func (n *Node) dutyHeld() bool {
+	for _, s := range n.mesh.States() {
+		if s.DutyToken != 0 && !s.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// epochMS returns the median of the epochs that the daemons in touch read.
+func (n *Node) epochMS() int64 {
+	var list []int64
+	if e, ok := n.Clock.Epoch(); ok {
+		list = append(list, e.Milliseconds())
+	}
+	for _, s := range n.mesh.States() {
+		if s.EpochMs != 0 {
+			list = append(list, s.EpochMs)
+		}
+	}
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
+// totalWork returns the work asked for at all daemons in touch, by service.
+func (n *Node) totalWork(now time.Duration) map[string]float64 {
+	sum := n.work.Rates(now)
+	for _, s := range n.mesh.States() {
+		for name, w := range s.Work {
+			sum[name] += w
+		}
+	}
+	return sum
+}
+
+// serviceZones returns the zones in which upstreams of a service may be.
+func (n *Node) serviceZones(service string) []string {
+	seen := make(map[string]bool)
+	if s := n.proxy.Catalog().Services[service]; s != nil && s.Scaling != nil {
+		for _, z := range n.Zones {
+			if _, priced := s.Scaling.ZonePrices[z]; priced {
+				seen[z] = true
+			}
+		}
+	}
+	var list []string
+	for z := range seen {
+		list = append(list, z)
+	}
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/internal/node/observe.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/proxy"
+)
+
+// Began implements proxy.Observer.
+func (n *Node) Began(customer string) { n.usage.Began(customer, n.Clock.Now()) }
+
+// Ended implements proxy.Observer.
+func (n *Node) Ended(r *proxy.Record) {
+	n.metrics.add(r)
+	total := r.Ended.Sub(r.Arrived)
+	first := time.Duration(0)
+	if !r.First.IsZero() {
+		first = r.First.Sub(r.Arrived)
+	}
+	n.log.Info("request", "id", r.ID, "route", r.Route, "kind", r.Kind.String(), "customer", r.Customer,
+		"status", r.Status, "end", r.End.String(), "cut", r.Cut, "gone", r.Gone, "tries", r.Tries(),
+		"first_ms", first.Milliseconds(), "total_ms", total.Milliseconds(), "gap_ms", r.Gap.Milliseconds(),
+		"expected_ms", r.Expected.Milliseconds(), "missing", r.Missing, "usable", r.Usable,
+		"config", r.Config, "retry_ms", r.Retry.Milliseconds(), "may_have_run", r.MayHaveRun, "reason", r.Reason)
+}
--- /dev/null
+++ b/internal/node/status.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lagoonmux/lagoonmux/internal/netopt"
+)
+
+const (
+	metricsPath = "/metrics"
+	// statusTimeout bounds reading a question and writing its answer.
+	statusTimeout = 2 * time.Second
+	// statusIdle is how long a connection of the balancer may stay idle.
+	statusIdle = 30 * time.Second
+	// maxAskers bounds the connections of those who ask.
+	maxAskers = 64
+)
+
+// serveStatus answers the balancer's questions and shows the metrics until ctx
+// ends.
+func (n *Node) serveStatus(ctx context.Context) error {
+	addresses := []string{n.Readiness}
+	if n.Metrics != "" && n.Metrics != n.Readiness {
+		addresses = append(addresses, n.Metrics)
+	}
+	server := &fasthttp.Server{
+		Handler:               n.status,
+		ReadTimeout:           statusTimeout,
+		WriteTimeout:          statusTimeout,
+		IdleTimeout:           statusIdle,
+		Concurrency:           maxAskers,
+		NoDefaultServerHeader: true,
+	}
+	var g errgroup.Group
+	for _, address := range addresses {
+		l, err := netopt.Listen(ctx, address, statusTimeout)
+		if err != nil {
+			return errors.Wrapf(err, "listen for questions at %s", address)
+		}
+		g.Go(func() error { return serveUntil(ctx, server, l) })
+	}
+	return g.Wait()
+}
+
+func serveUntil(ctx context.Context, server *fasthttp.Server, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	err := server.Serve(l)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrapf(err, "serve questions at %s", l.Addr())
+}
+
+func (n *Node) status(c *fasthttp.RequestCtx) {
+	switch string(c.Path()) {
+	case n.ReadyPath:
+		if !n.Ready() {
+			c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	case metricsPath:
+		n.metrics.write(c)
+		n.writeGauges(c)
+	default:
+		c.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+// writeGauges prints what holds at the moment.
+func (n *Node) writeGauges(c *fasthttp.RequestCtx) {
+	all, touched := n.mesh.Count()
+	open, dials := n.pool.Stats()
+	version := int64(0)
+	if cfg := n.proxy.Catalog(); cfg != nil {
+		version = cfg.Version
+	}
+	_, _ = fmt.Fprintf(c, "lagoonmux_ready %t\nlagoonmux_config_version %d\nlagoonmux_daemons %d\nlagoonmux_daemons_in_touch %d\n",
+		n.Ready(), version, all, touched)
+	_, _ = fmt.Fprintf(c, "lagoonmux_store_up_ms %d\nlagoonmux_upstream_connections %d\nlagoonmux_upstream_dials_total %d\nlagoonmux_callers %d\n",
+		n.storeUp().Milliseconds(), open, dials, n.server.Connections())
+}
--- /dev/null
+++ b/internal/proxy/attempt.go
@@ -0,0 +1,277 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/bytebufferpool"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/boottime"
+	"github.com/lagoonmux/lagoonmux/internal/catalog"
+	"github.com/lagoonmux/lagoonmux/internal/egress"
+	"github.com/lagoonmux/lagoonmux/internal/routing/place"
+)
+
+// ending is how an attempt ended.
+type ending int
+
+const (
+	done      ending = iota // the caller has its answer
+	unsent                  // no byte has left
+	refused                 // the upstream did not run it
+	misplaced               // another upstream has the address
+	lost                    // it may have run; the caller has nothing yet
+	broken                  // it has run; the caller has a part of the answer
+	expired                 // out of time
+	gone                    // the caller has left
+	unplaced                // no upstream could be chosen
+)
+
+// String returns the name used in logs.
+func (e ending) String() string {
+	return [...]string{"done", "unsent", "refused", "misplaced", "lost", "broken", "expired", "gone", "unplaced"}[e]
+}
+
+const (
+	// maxWhole bounds answers that are gathered before they are passed on.
+	maxWhole = 8 << 20
+	// firstPatience is how long a stream's first event may be awaited from an
+	// upstream that sends nothing to anyone, before it goes elsewhere.
+	firstPatience = 900 * time.Millisecond
+	// gapPatience is the same between events. Callers leave after two seconds.
+	gapPatience = 900 * time.Millisecond
+	// plainPart is the part of the time left that one upstream gets for a request
+	// that may be repeated.
+	plainPart = 0.4
+	// maxRefusal and drainPatience bound what is read of a refusal's body.
+	maxRefusal    = 4 << 10
+	drainPatience = 20 * time.Millisecond
+	// lookEvery is the time between looks at whether an upstream has gone silent.
+	lookEvery = 200 * time.Millisecond
+)
+
+// errSilent says that an upstream sends nothing on any connection.
+var errSilent = errors.New("upstream is silent")
+
+// attempt sends the request to one upstream. It belongs to one goroutine.
+type attempt struct {
+	*task
+	choice  place.Choice
+	conn    *egress.Conn
+	head    fasthttp.ResponseHeader
+	verdict Verdict
+	began   time.Time
+	first   bool // the first event or the answer has come
+	busy    bool // all connections to the upstream are in use
+}
+
+// outcome tells the placer how the attempt ended.
+func (a *attempt) outcome(e ending) place.Outcome {
+	switch e {
+	case done:
+		return place.Answered
+	case unsent:
+		if a.busy {
+			return place.Refused
+		}
+	case refused:
+		return place.Refused
+	case misplaced:
+		return place.Misplaced
+	case expired, gone:
+		return place.Withdrawn
+	}
+	return place.Failed
+}
+
+// run sends the request and passes its answer on.
+func (a *attempt) run(ctx context.Context) (ending, error) {
+	conn, err := a.get(ctx, a.choice)
+	if err != nil {
+		a.busy = errors.Is(err, egress.ErrBusy)
+		return a.ended(ctx, unsent), err
+	}
+	a.conn = conn
+	left := time.Until(a.deadline)
+	if left < minLeft || ctx.Err() != nil {
+		conn.Release()
+		return a.ended(ctx, expired), nil
+	}
+	a.sends++
+	a.Work.Add(a.service.Name, a.choice.Missing, a.req.OutputTokens, boottime.Now())
+	e, err := a.exchange(ctx, left)
+	switch e {
+	case done:
+		conn.Release()
+	case refused, misplaced:
+		a.drain()
+		conn.Release()
+	default:
+		conn.Close()
+	}
+	if e != refused && e != misplaced {
+		a.record.MayHaveRun = true
+	}
+	return a.ended(ctx, e), err
+}
+
+// ended tells apart what the caller or the clock has ended.
+func (a *attempt) ended(ctx context.Context, e ending) ending {
+	if e == done || ctx.Err() == nil {
+		return e
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return expired
+	}
+	return gone
+}
+
+func (a *attempt) exchange(ctx context.Context, left time.Duration) (ending, error) {
+	buf := bytebufferpool.Get()
+	defer bytebufferpool.Put(buf)
+	customer := ""
+	if a.customer != nil {
+		customer = a.customer.Name
+	}
+	buf.B = a.Codec.Encode(buf.B[:0], a.req, Send{
+		Left:      left,
+		Instance:  a.choice.Upstream.ID,
+		Customer:  customer,
+		Urgency:   a.urgency,
+		LastEvent: a.out.lastEvent(a.req),
+	})
+	head := append([]byte(nil), buf.B...) // a write may go on after this returns
+	if err := a.conn.Start(ctx, head, a.req.Body); err != nil {
+		return lost, err
+	}
+	if err := a.awaitHead(left); err != nil {
+		return lost, err
+	}
+	a.verdict = a.Codec.Judge(&a.head)
+	if a.verdict.HasLoad {
+		a.Placer.Reported(a.choice.Upstream.Key(), a.verdict.Load, boottime.Now())
+	}
+	return a.judge()
+}
+
+// drain reads the rest of a refusal, so that its connection can be kept.
+func (a *attempt) drain() {
+	var body []byte
+	var err error
+	for err == nil && len(body) < maxRefusal {
+		body, err = a.conn.Next(body, drainPatience)
+	}
+}
+
+// judge decides by the head of an answer what becomes of it.
+func (a *attempt) judge() (ending, error) {
+	v := &a.verdict
+	status := a.head.StatusCode()
+	success := status >= 200 && status < 300
+	switch {
+	case v.ID != "" && v.ID != a.req.ID:
+		return lost, errors.Errorf("answer belongs to request %.40q", v.ID)
+	case v.Misplaced:
+		return misplaced, errors.Errorf("another upstream has address %s", a.choice.Upstream.Address)
+	case v.NotRun:
+		return refused, errors.Errorf("upstream refused with %d", status)
+	case v.ID == "":
+		return lost, errors.Errorf("answer %d without an id", status)
+	case success && !v.Sealed:
+		return lost, errors.Errorf("answer %d without a seal", status)
+	case status >= 500 && a.again500(status):
+		return lost, errors.Errorf("upstream failed with %d", status)
+	case a.out.begun && !success:
+		return broken, errors.Errorf("resumed answer is %d", status)
+	}
+	if success && a.route.Kind == catalog.Stream {
+		return a.stream()
+	}
+	return a.whole()
+}
+
+// again500 tells whether a failure of the upstream's own is worth another try.
+func (a *attempt) again500(status int) bool {
+	return status != fasthttp.StatusGatewayTimeout && a.route.MayRepeat() && a.sends < a.route.MaxAttempts &&
+		a.Budget.Left(a.service.Name, boottime.Now())
+}
+
+// patience is how long the attempt waits for a head or an event before it looks
+// whether the upstream has gone silent.
+func (a *attempt) patience(left time.Duration) time.Duration {
+	switch {
+	case !a.route.MayRepeat() || a.sends >= a.route.MaxAttempts:
+		return left
+	case a.route.Kind == catalog.Stream:
+		return min(firstPatience, left)
+	}
+	return max(time.Duration(plainPart*float64(left)), minLeft)
+}
+
+func (a *attempt) awaitHead(left time.Duration) error {
+	wait := a.patience(left)
+	for {
+		err := a.conn.Head(&a.head, wait)
+		if err != egress.ErrPatience {
+			return err
+		}
+		if left = time.Until(a.deadline); left <= 0 {
+			return err
+		}
+		if a.route.Kind != catalog.Stream || a.Placer.Silent(a.choice.Upstream.Key(), boottime.Now()) {
+			return errSilent
+		}
+		wait = min(lookEvery, left)
+	}
+}
+
+// whole gathers an answer and passes it on once it is complete.
+func (a *attempt) whole() (ending, error) {
+	if a.req.Method == fasthttp.MethodHead {
+		a.conn.NoBody()
+	}
+	var body []byte
+	var err error
+	for err == nil {
+		if body, err = a.conn.Next(body, max(time.Until(a.deadline), minLeft)); len(body) > maxWhole {
+			return lost, errors.Errorf("answer is longer than %d bytes", maxWhole)
+		}
+	}
+	if err != io.EOF {
+		return lost, err
+	}
+	a.noteFirst()
+	status := a.head.StatusCode()
+	if a.verdict.Promise && !a.route.MayRepeat() {
+		// The status would promise that nothing ran, which the upstream did not say.
+		a.record.Upstream = status
+		a.record.MayHaveRun = true
+		a.refuse(refusal{status: fasthttp.StatusBadGateway, reason: "upstream failed after it may have run"})
+		return done, nil
+	}
+	resp := fasthttp.AcquireResponse()
+	a.Codec.Pass(&a.head, resp)
+	resp.SetBodyRaw(body)
+	a.record.Status = status
+	_ = a.x.Respond(resp)
+	return done, nil
+}
+
+// noteFirst notes that the upstream has begun to run the request.
+func (a *attempt) noteFirst() {
+	if a.first {
+		return
+	}
+	a.first = true
+	now := time.Now()
+	a.Placer.First(a.choice, now.Sub(a.began), boottime.Now())
+	if a.record.First.IsZero() {
+		a.record.First = now
+		if a.customer != nil {
+			a.Observer.Began(a.customer.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,154 @@
+// Package proxy takes one request from its head to the end of its answer,
+// whatever codec it came in: an opaque body, what its route allows, a deadline
+// and the parts of its prompt.
+//
+// It keeps these promises: a request that may run only once is sent on only
+// while no byte of it can have reached an upstream, or after an upstream said
+// that it did not run it; an answer begins only after its id, seal and framing
+// were checked; an answer that is not whole never looks complete; and "not run"
+// is said only of requests that did not run and never will.
+package proxy
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/catalog"
+	"github.com/lagoonmux/lagoonmux/internal/egress"
+	"github.com/lagoonmux/lagoonmux/internal/ingress"
+	"github.com/lagoonmux/lagoonmux/internal/quota"
+	"github.com/lagoonmux/lagoonmux/internal/routing/place"
+)
+
+// Request is what a codec reads of a request.
+type Request struct {
+	ID           string // of this attempt of the caller
+	Method       string
+	Host         string
+	Path         string // as received, with its query
+	Key          string // of the customer
+	Patience     time.Duration
+	Prompt       []place.Part
+	PromptTokens int
+	OutputTokens int // at most
+	LastEvent    string
+	Body         []byte
+	Head         []byte // as received
+}
+
+// Tokens returns the prompt and output tokens of the request, 0 if it names none.
+func (r *Request) Tokens() int { return r.PromptTokens + r.OutputTokens }
+
+// Send is what a codec adds to a request that goes to an upstream.
+type Send struct {
+	Left      time.Duration
+	Instance  string // the upstream that is meant
+	Customer  string // holder of the key; empty for none
+	Urgency   int    // 0 is first, 9 last
+	LastEvent string // the last one that the caller has; empty for none
+}
+
+// Verdict is what a codec reads from the head of an answer.
+type Verdict struct {
+	ID        string
+	Sealed    bool
+	NotRun    bool // the upstream did not run the request and never will
+	Misplaced bool // it is not the upstream that was meant
+	Promise   bool // the status promises the caller that nothing ran
+	HasLoad   bool
+	Load      place.Report
+}
+
+// Codec translates between an interface and requests. Its methods may be called
+// from any goroutine.
+type Codec interface {
+	// Decode reads a request. Its error means that the request is malformed.
+	Decode(x *ingress.Exchange) (*Request, error)
+	// Encode appends the head of the request as it goes to an upstream.
+	Encode(buf []byte, r *Request, s Send) []byte
+	// Judge reads the head of an answer.
+	Judge(h *fasthttp.ResponseHeader) Verdict
+	// Pass copies what the caller is to see of an answer's head.
+	Pass(from *fasthttp.ResponseHeader, to *fasthttp.Response)
+	// Refuse fills an answer of the daemon's own; retry is 0 where the caller is
+	// not told when to come back.
+	Refuse(to *fasthttp.Response, r *Request, status int, retry time.Duration)
+}
+
+// Observer takes in what became of requests. Its methods may be called from
+// any goroutine and must not block.
+type Observer interface {
+	// Began notes that a request of a customer has begun to run.
+	Began(customer string)
+	// Ended notes the end of a request.
+	Ended(r *Record)
+}
+
+// Config is what a Proxy works with.
+type Config struct {
+	Codec    Codec
+	Log      hclog.Logger
+	Placer   *place.Placer
+	Quota    *quota.Keeper
+	Pool     *egress.Pool
+	Budget   *Budget
+	Work     *Work
+	Observer Observer
+	// Fresh tells whether the configuration is known to be the newest; a route or
+	// key that it lacks is denied only then.
+	Fresh func() bool
+	// Daemons returns how many daemons share the connections of an upstream.
+	Daemons func() int
+}
+
+// Proxy is an ingress.Handler.
+type Proxy struct {
+	Config
+	current atomic.Pointer[catalog.Config]
+	lateBy  atomic.Int64 // unix nanoseconds after which a drain refuses long requests; 0 before a drain
+}
+
+// New returns a proxy that refuses everything until SetCatalog.
+func New(c Config) *Proxy { return &Proxy{Config: c} }
+
+// SetCatalog puts a configuration into force for requests from now on.
+func (p *Proxy) SetCatalog(c *catalog.Config) { p.current.Store(c) }
+
+// Catalog returns the configuration in force, or nil.
+func (p *Proxy) Catalog() *catalog.Config { return p.current.Load() }
+
+// RefuseLate makes the proxy refuse streams from t on: they could outlast the
+// drain.
+func (p *Proxy) RefuseLate(t time.Time) { p.lateBy.Store(t.UnixNano()) }
+
+func (p *Proxy) late(now time.Time) bool {
+	by := p.lateBy.Load()
+	return by != 0 && now.UnixNano() >= by
+}
+
+// Precheck implements ingress.Handler.
+func (p *Proxy) Precheck(*fasthttp.RequestHeader, int) int {
+	if p.Catalog() == nil {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return 0
+}
+
+// Refusal implements ingress.Handler.
+func (p *Proxy) Refusal(status int) string {
+	if status == fasthttp.StatusServiceUnavailable {
+		return "Retry-After: 0.2\r\n"
+	}
+	return ""
+}
+
+// Serve implements ingress.Handler.
+func (p *Proxy) Serve(ctx context.Context, x *ingress.Exchange) {
+	t := &task{Proxy: p, x: x, record: Record{Arrived: x.Arrived}}
+	defer t.end()
+	t.serve(ctx)
+}
--- /dev/null
+++ b/internal/proxy/record.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"strings"
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/catalog"
+	"github.com/lagoonmux/lagoonmux/internal/routing/place"
+)
+
+// Record is what became of one request, for logs and metrics.
+type Record struct {
+	ID         string
+	Route      string
+	Service    string
+	Customer   string
+	Kind       catalog.Kind
+	Config     int64 // version of the configuration
+	Arrived    time.Time
+	First      time.Time // first event or answer; zero for none
+	Ended      time.Time
+	Status     int
+	Upstream   int // status of the upstream that was not passed on; 0 for none
+	Retry      time.Duration
+	Reason     string // why it was not answered
+	End        ending
+	Sends      int
+	Gap        time.Duration // longest between events
+	MayHaveRun bool
+	Gone       bool // the caller had left
+	Cut        bool // the answer was not passed on to its end
+
+	// Of the last choice of an upstream.
+	Chosen   string
+	Expected time.Duration
+	Missing  int
+	Usable   int
+
+	tries strings.Builder
+}
+
+// Tries tells which upstreams were tried and how that ended.
+func (r *Record) Tries() string { return r.tries.String() }
+
+func (r *Record) note(c place.Choice) {
+	r.Chosen, r.Expected = c.Upstream.ID, c.Expected
+	r.Missing, r.Usable = c.Missing, c.Usable
+}
+
+func (r *Record) tried(c place.Choice, e ending, err error) {
+	if r.tries.Len() > 0 {
+		r.tries.WriteByte(',')
+	}
+	r.tries.WriteString(c.Upstream.ID + ":" + e.String())
+	if err != nil {
+		r.Reason = err.Error()
+	}
+	r.End = e
+}
--- /dev/null
+++ b/internal/proxy/work.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// readRate is the prompt tokens that an engine reads in a millisecond.
+	readRate = 110.0
+	// tokenWork is the time that an output token takes among others.
+	tokenWork = 0.15 // ms
+	// workDecay is the time over which work is averaged.
+	workDecay = 5 * time.Second
+)
+
+// Work measures how much time of upstreams is asked for. Its methods may be
+// called from any goroutine.
+type Work struct {
+	mu       sync.Mutex
+	services map[string]*rate
+}
+
+// rate is a decayed rate.
+type rate struct {
+	perSecond float64
+	at        time.Duration
+}
+
+// NewWork returns a measure that has seen nothing.
+func NewWork() *Work { return &Work{services: make(map[string]*rate)} }
+
+// Add counts a request that was sent.
+func (w *Work) Add(service string, missing, output int, now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.services[service]
+	if r == nil {
+		r = &rate{at: now}
+		w.services[service] = r
+	}
+	r.decay(now)
+	r.perSecond += (float64(missing)/readRate + tokenWork*float64(output)) / workDecay.Seconds()
+}
+
+func (r *rate) decay(now time.Duration) {
+	if now > r.at {
+		r.perSecond *= math.Exp(-(now - r.at).Seconds() / workDecay.Seconds())
+		r.at = now
+	}
+}
+
+// Rates returns the milliseconds of upstream time asked for per second, by
+// service.
+func (w *Work) Rates(now time.Duration) map[string]float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := make(map[string]float64, len(w.services))
+	for name, r := range w.services {
+		r.decay(now)
+		list[name] = r.perSecond
+	}
+	return list
+}
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,282 @@
+// Package quota keeps the limits of customers over all daemons without a call
+// for each request.
+//
+// Every daemon keeps a copy of each customer's token bucket, from which it takes
+// what it admits itself and, as it hears of it, what the others admit. As long
+// as the others cannot know of what a daemon admitted, it may take only its
+// share of what the bucket held: shares add up to one, so that all together
+// never take more than there is. Daemons that are out of touch keep a fixed part
+// of the limit, which the others leave alone.
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// unseen is how long what a daemon admitted may be unknown to others: two
+	// exchanges, the first of which may fail.
+	unseen = 600 * time.Millisecond
+	// maxStep bounds the refill after a pause of the process, in which the others
+	// have gone on taking.
+	maxStep = 500 * time.Millisecond
+	// demandDecay is the time over which what is asked for is averaged.
+	demandDecay = 2 * time.Second
+	// equalPart is the part of the bucket that is shared out evenly, so that a
+	// daemon on which a customer shows up anew can admit at once.
+	equalPart = 0.4
+	// minRetry and maxRetry bound what a refused caller is told to wait.
+	minRetry = 100 * time.Millisecond
+	maxRetry = 5 * time.Second
+)
+
+// Limit is the limit of one customer. A Rate of 0 means none.
+type Limit struct {
+	Rate  float64 // a second
+	Burst float64
+}
+
+// Spend is what one daemon has taken for one customer.
+type Spend struct {
+	Customer string
+	Spent    float64 // since the start of the daemon
+	Demand   float64 // a second, of late
+}
+
+// recent is an amount that others may not know of yet.
+type recent struct {
+	at   time.Duration
+	cost float64
+}
+
+// bucket is this daemon's copy of a customer's bucket.
+type bucket struct {
+	limit  Limit
+	level  float64
+	at     time.Duration // of the last refill
+	spent  float64       // by this daemon
+	recent []recent
+	demand float64 // a second, decayed
+	asked  time.Duration
+	others map[string]float64 // demand by daemon
+}
+
+// peer is what is known of another daemon's spending.
+type peer struct {
+	born  int64
+	spent map[string]float64
+}
+
+// Keeper admits requests of all customers. Its methods may be called from any
+// goroutine; now is a clock that counts while the VM is suspended.
+type Keeper struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	peers   map[string]*peer
+	all     int // daemons that may admit requests
+	touched int // of them, in touch with this one
+}
+
+// New returns a keeper without limits.
+func New() *Keeper {
+	return &Keeper{buckets: make(map[string]*bucket), peers: make(map[string]*peer), all: 1, touched: 1}
+}
+
+// SetLimits puts limits into force. A new bucket starts empty: after a restart
+// nobody knows what was taken before it.
+func (k *Keeper) SetLimits(limits map[string]Limit, now time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, l := range limits {
+		b := k.buckets[name]
+		if b == nil {
+			b = &bucket{at: now, others: make(map[string]float64)}
+			k.buckets[name] = b
+		}
+		k.refill(b, now)
+		b.limit = l
+		b.level = math.Min(b.level, l.Burst)
+	}
+	for name := range k.buckets {
+		if _, ok := limits[name]; !ok {
+			delete(k.buckets, name)
+		}
+	}
+}
+
+// SetDaemons tells how many daemons may admit requests and how many of them are
+// in touch, with this one.
+func (k *Keeper) SetDaemons(all, touched int, now time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, b := range k.buckets {
+		k.refill(b, now)
+	}
+	k.all, k.touched = max(all, 1), max(min(touched, all), 1)
+}
+
+// part is the part of each limit that the daemons in touch may use.
+func (k *Keeper) part() float64 { return float64(k.touched) / float64(k.all) }
+
+func (k *Keeper) refill(b *bucket, now time.Duration) {
+	step := min(now-b.at, maxStep)
+	b.at = now
+	if step <= 0 {
+		return
+	}
+	b.level = math.Min(b.level+b.limit.Rate*step.Seconds()*k.part(), b.limit.Burst)
+}
+
+// Take admits a request of the given cost, or returns how long its caller
+// should wait before it asks again.
+func (k *Keeper) Take(customer string, cost float64, now time.Duration) (bool, time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b := k.buckets[customer]
+	if b == nil || b.limit.Rate <= 0 {
+		return true, 0
+	}
+	k.refill(b, now)
+	b.note(cost, now)
+	mine := b.forget(now)
+	usable := (b.level + mine) * k.part()
+	share := k.share(b)
+	fits := mine+cost <= share*usable
+	// A share may be too small for any single request; one at a time may then
+	// draw on the whole, and what is taken too much is paid back from the refill.
+	alone := mine == 0 && b.level*k.part() >= math.Min(cost, b.limit.Burst/2)
+	if !fits && !alone {
+		return false, b.wait(mine+cost-share*usable, share*k.part())
+	}
+	b.level -= cost
+	b.spent += cost
+	b.recent = append(b.recent, recent{now, cost})
+	return true, 0
+}
+
+// note counts a request among those asked for.
+func (b *bucket) note(cost float64, now time.Duration) {
+	b.decay(now)
+	b.demand += cost / demandDecay.Seconds()
+}
+
+func (b *bucket) decay(now time.Duration) {
+	if now > b.asked {
+		b.demand *= math.Exp(-(now - b.asked).Seconds() / demandDecay.Seconds())
+		b.asked = now
+	}
+}
+
+// forget drops what the others know by now and returns the sum of the rest.
+func (b *bucket) forget(now time.Duration) float64 {
+	n := 0
+	for n < len(b.recent) && now-b.recent[n].at > unseen {
+		n++
+	}
+	b.recent = b.recent[:copy(b.recent, b.recent[n:])]
+	sum := 0.0
+	for _, r := range b.recent {
+		sum += r.cost
+	}
+	return sum
+}
+
+// share is this daemon's part of what the daemons in touch may take.
+func (k *Keeper) share(b *bucket) float64 {
+	total := b.demand
+	for _, d := range b.others {
+		total += d
+	}
+	even := 1 / float64(k.touched)
+	if total <= 0 {
+		return even
+	}
+	return equalPart*even + (1-equalPart)*b.demand/total
+}
+
+// wait returns when an amount will have flowed into a part of the bucket.
+func (b *bucket) wait(missing, part float64) time.Duration {
+	seconds := missing / math.Max(b.limit.Rate*part, 1)
+	return min(max(time.Duration(seconds*float64(time.Second)), minRetry), maxRetry)
+}
+
+// Refund gives back what a request was charged that did not run.
+func (k *Keeper) Refund(customer string, cost float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b := k.buckets[customer]
+	if b == nil || b.limit.Rate <= 0 {
+		return
+	}
+	b.level = math.Min(b.level+cost, b.limit.Burst)
+	b.spent -= cost
+	if n := len(b.recent); n > 0 {
+		b.recent[n-1].cost -= cost // the sum counts, not the entry
+	}
+}
+
+// Local returns what this daemon has taken.
+func (k *Keeper) Local(now time.Duration) []Spend {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := make([]Spend, 0, len(k.buckets))
+	for name, b := range k.buckets {
+		b.decay(now)
+		list = append(list, Spend{Customer: name, Spent: b.spent, Demand: b.demand})
+	}
+	return list
+}
+
+// Learn takes in what another daemon has taken. The first word of an
+// incarnation that was running before this daemon heard of it counts from then.
+func (k *Keeper) Learn(name string, born int64, spends []Spend, now time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := k.peers[name]
+	if p != nil && p.born > born {
+		return
+	}
+	if p == nil || p.born != born {
+		restarted := p != nil
+		p = &peer{born: born, spent: make(map[string]float64)}
+		k.peers[name] = p
+		if !restarted {
+			for _, s := range spends {
+				p.spent[s.Customer] = s.Spent
+			}
+		}
+	}
+	for _, s := range spends {
+		taken := s.Spent - p.spent[s.Customer]
+		p.spent[s.Customer] = s.Spent
+		b := k.buckets[s.Customer]
+		if b == nil {
+			continue
+		}
+		k.refill(b, now)
+		b.level = math.Min(b.level-taken, b.limit.Burst)
+		b.others[name] = s.Demand
+	}
+}
+
+// Forget drops the demand of a daemon that is out of touch; what it has taken
+// stays known.
+func (k *Keeper) Forget(name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, b := range k.buckets {
+		delete(b.others, name)
+	}
+}
+
+// Level returns this daemon's copy of a customer's bucket, for logs.
+func (k *Keeper) Level(customer string) float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if b := k.buckets[customer]; b != nil {
+		return b.level
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,199 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const customer = "c"
+
+// fleet plays daemons that exchange what they have taken.
+type fleet struct {
+	rnd     *rand.Rand
+	keepers []*Keeper
+	born    []int64
+	cut     []bool // out of touch with the others
+	now     time.Duration
+	taken   []taken
+	limit   Limit
+}
+
+type taken struct {
+	at   time.Duration
+	cost float64
+}
+
+func newFleet(n int, limit Limit, seed uint64) *fleet {
+	f := &fleet{rnd: rand.New(rand.NewPCG(seed, 1)), limit: limit, now: time.Hour}
+	for i := range n {
+		f.keepers = append(f.keepers, nil)
+		f.born = append(f.born, 0)
+		f.cut = append(f.cut, false)
+		f.restart(i)
+	}
+	return f
+}
+
+func (f *fleet) restart(i int) {
+	f.keepers[i] = New()
+	f.born[i]++
+	f.keepers[i].SetLimits(map[string]Limit{customer: f.limit}, f.now)
+	f.touch()
+}
+
+func (f *fleet) touch() {
+	up := 0
+	for _, c := range f.cut {
+		if !c {
+			up++
+		}
+	}
+	for i, k := range f.keepers {
+		if f.cut[i] {
+			k.SetDaemons(len(f.keepers), 1, f.now)
+		} else {
+			k.SetDaemons(len(f.keepers), up, f.now)
+		}
+	}
+}
+
+func (f *fleet) exchange() {
+	for i, k := range f.keepers {
+		for j, other := range f.keepers {
+			if i != j && !f.cut[i] && !f.cut[j] {
+				other.Learn(fmt.Sprint(i), f.born[i], k.Local(f.now), f.now)
+			}
+		}
+	}
+}
+
+// play lets each daemon be asked for perSecond, in requests of the given cost.
+func (f *fleet) play(d time.Duration, perSecond []float64, cost float64) (asked, admitted float64) {
+	const step = 10 * time.Millisecond
+	for end := f.now + d; f.now < end; f.now += step {
+		if f.now%(250*time.Millisecond) == 0 {
+			f.exchange()
+		}
+		for i, k := range f.keepers {
+			for want := perSecond[i] * step.Seconds(); want > 0; want -= cost {
+				if want < cost && f.rnd.Float64() > want/cost {
+					break
+				}
+				asked += cost
+				if ok, _ := k.Take(customer, cost, f.now); ok {
+					admitted += cost
+					f.taken = append(f.taken, taken{f.now, cost})
+				}
+			}
+		}
+	}
+	return asked, admitted
+}
+
+// most returns the largest sum in any window.
+func (f *fleet) most(window time.Duration) float64 {
+	most, sum, from := 0.0, 0.0, 0
+	for _, t := range f.taken {
+		sum += t.cost
+		for t.at-f.taken[from].at > window {
+			sum -= f.taken[from].cost
+			from++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+func even(n int, total float64) []float64 {
+	list := make([]float64, n)
+	for i := range list {
+		list[i] = total / float64(n)
+	}
+	return list
+}
+
+// bound is what the platform tolerates in a window of 8 s: a tenth more than
+// the limit, and 72,000 tokens.
+func bound(l Limit) float64 { return (l.Rate*8+l.Burst)*1.1 + 72000 }
+
+func TestUsualDemandIsAdmitted(t *testing.T) {
+	f := newFleet(6, Limit{Rate: 480000, Burst: 480000}, 1)
+	f.play(10*time.Second, even(6, 1), 1)
+	asked, admitted := f.play(30*time.Second, even(6, 480000/1.8), 9000)
+	assert.Assert(t, admitted >= 0.999*asked, "%v of %v", admitted, asked)
+}
+
+func TestUnevenDemandIsAdmitted(t *testing.T) {
+	f := newFleet(6, Limit{Rate: 480000, Burst: 480000}, 1)
+	f.play(10*time.Second, even(6, 1), 1)
+	asked, admitted := f.play(30*time.Second, []float64{200000, 50000, 10000, 5000, 1000, 700}, 9000)
+	assert.Assert(t, admitted >= 0.98*asked, "%v of %v", admitted, asked)
+}
+
+func TestExcessIsRefusedAndTheLimitUsed(t *testing.T) {
+	limit := Limit{Rate: 480000, Burst: 480000}
+	for seed := range uint64(5) {
+		f := newFleet(6, limit, seed)
+		f.play(10*time.Second, even(6, 1), 1)
+		_, admitted := f.play(20*time.Second, even(6, 2e6), 9000)
+		assert.Assert(t, f.most(8*time.Second) <= bound(limit), "%v", f.most(8*time.Second))
+		assert.Assert(t, admitted >= 0.9*limit.Rate*20, "%v", admitted)
+	}
+}
+
+func TestSmallLimitAdmitsSomethingAndNeverMuch(t *testing.T) {
+	limit := Limit{Rate: 18000, Burst: 18000}
+	f := newFleet(6, limit, 1)
+	_, admitted := f.play(40*time.Second, even(6, 200000), 9000)
+	assert.Assert(t, f.most(8*time.Second) <= bound(limit), "%v", f.most(8*time.Second))
+	assert.Assert(t, admitted >= 0.5*limit.Rate*40, "%v", admitted)
+}
+
+// TestDrawnFaults draws cuts, restarts, changes of the limit and bursts, and
+// checks the platform's tolerance in every window. Seeds are printed.
+func TestDrawnFaults(t *testing.T) {
+	for seed := range uint64(30) {
+		limit := Limit{Rate: 300000, Burst: 300000}
+		f := newFleet(6, limit, seed)
+		f.play(10*time.Second, even(6, 1), 1)
+		for range 12 {
+			i := f.rnd.IntN(6)
+			switch f.rnd.IntN(3) {
+			case 0:
+				f.cut[i] = !f.cut[i]
+			case 1:
+				f.restart(i)
+			}
+			f.touch()
+			f.play(time.Duration(1+f.rnd.IntN(30))*100*time.Millisecond, even(6, f.rnd.Float64()*2e6), 4000+f.rnd.Float64()*9000)
+		}
+		assert.Assert(t, f.most(8*time.Second) <= bound(limit), "seed %d: %v", seed, f.most(8*time.Second))
+	}
+}
+
+func TestPauseOfTheProcessRefillsLittle(t *testing.T) {
+	k := New()
+	k.SetLimits(map[string]Limit{customer: {Rate: 1000, Burst: 1000}}, time.Hour)
+	k.SetDaemons(6, 6, time.Hour)
+	k.Take(customer, 1, time.Hour+10*time.Second)
+	assert.Assert(t, k.Level(customer) <= 1000*maxStep.Seconds())
+}
+
+func TestRefund(t *testing.T) {
+	k := New()
+	now := time.Hour
+	k.SetLimits(map[string]Limit{customer: {Rate: 100, Burst: 50}}, now)
+	now += 400 * time.Millisecond
+	ok, _ := k.Take(customer, 40, now)
+	assert.Assert(t, ok)
+	ok, wait := k.Take(customer, 40, now)
+	assert.Assert(t, !ok && wait >= minRetry && wait <= maxRetry)
+	k.Refund(customer, 40)
+	ok, _ = k.Take(customer, 40, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, k.Local(now)[0].Spent, 40.0)
+}
--- /dev/null
+++ b/internal/routing/place/outcome.go
@@ -0,0 +1,123 @@
+package place
+
+import (
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/roster"
+)
+
+// Outcome is how a request ended at an upstream.
+type Outcome int
+
+// Outcomes.
+const (
+	Answered  Outcome = iota
+	Refused           // the upstream was full and did not run it
+	Failed            // the upstream or its connection failed
+	Misplaced         // another upstream has the address
+	Withdrawn         // ended by the caller or its deadline; says nothing of the upstream
+)
+
+// First notes that the first event or the answer of a request has come, after
+// took.
+func (p *Placer) First(c Choice, took time.Duration, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[c.Upstream.Key()]
+	if s == nil {
+		return
+	}
+	s.heard = now
+	s.own.Backlog = max(s.own.Backlog-c.Missing, 0)
+	ms := float64(took) / float64(time.Millisecond)
+	if c.Missing == 0 {
+		s.work += speedWeight * (ms - s.work)
+		return
+	}
+	if c.Missing < measuredTokens || c.Expected <= 0 {
+		return
+	}
+	usual := float64(c.Expected)/float64(time.Millisecond) - firstEvent
+	ratio := (ms - firstEvent) / max(usual/s.speed, 1)
+	ratio = min(max(ratio, minSpeed), maxSpeed)
+	s.speed += speedWeight * (ratio - s.speed)
+}
+
+// Heard notes that an upstream has sent something.
+func (p *Placer) Heard(k roster.Key, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.states[k]; s != nil {
+		s.heard = now
+	}
+}
+
+// Reported takes in an upstream's word on its load.
+func (p *Placer) Reported(k roster.Key, r Report, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.states[k]; s != nil {
+		s.report, s.reported = r, now
+	}
+}
+
+// Done ends the count of a request. begun tells whether First was called.
+func (p *Placer) Done(c Choice, o Outcome, begun bool, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[c.Upstream.Key()]
+	if s == nil {
+		return
+	}
+	s.own.Running = max(s.own.Running-1, 0)
+	if !begun {
+		s.own.Backlog = max(s.own.Backlog-c.Missing, 0)
+	}
+	if s.own.Running == 0 {
+		s.own.Backlog = 0
+		s.waitSince = 0
+	}
+	switch o {
+	case Answered:
+		s.heard = now
+		s.outcome(0, now)
+	case Refused:
+		s.heard = now
+		s.fullUntil = now + fullFor
+	case Failed, Misplaced:
+		s.outcome(1, now)
+	}
+}
+
+// outcome moves the failure rate towards rate.
+func (s *state) outcome(rate float64, now time.Duration) {
+	f := s.failRate(now)
+	s.fails, s.failedAt = f+failWeight*(rate-f), now
+}
+
+// Local returns what this daemon has under way, by ID of the upstream.
+func (p *Placer) Local() map[string]Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make(map[string]Load)
+	for k, s := range p.states {
+		if s.own.Running > 0 {
+			list[k.ID] = s.own
+		}
+	}
+	return list
+}
+
+// Learn takes in what another daemon has under way.
+func (p *Placer) Learn(daemon string, loads map[string]Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for k, s := range p.states {
+		l, ok := loads[k.ID]
+		if !ok {
+			delete(s.others, daemon)
+			continue
+		}
+		s.others[daemon] = l
+	}
+}
--- /dev/null
+++ b/internal/routing/place/place.go
@@ -0,0 +1,279 @@
+// Package place chooses the upstream of each request: the one from which the
+// first event, or the answer, is expected soonest.
+//
+// It knows no sockets and has no clock of its own. What it reckons with: parts
+// of the prompt that an upstream has kept, prompts that wait to be read there on
+// behalf of this daemon and of others, how fast the upstream was of late, and
+// whether it fails or has gone silent.
+package place
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoonmux/lagoonmux/internal/roster"
+)
+
+// ErrNone says that no upstream of a service takes requests.
+var ErrNone = errors.New("no upstream takes requests")
+
+const (
+	// readRate is the prompt tokens that an engine reads in a millisecond beside
+	// running requests: 1,024 tokens take 9.3 ms, and a step of the others 6 to 8.
+	readRate = 64.0
+	// firstEvent is the time to a first event where nothing is to be read: two
+	// steps and a round trip.
+	firstEvent = 15.0 // ms
+	// plainWork is assumed for a plain request until some were measured.
+	plainWork = 20.0 // ms
+	// fullPart of its slots taken, an upstream slows down or makes requests wait.
+	fullPart = 0.9
+	// fullCost is added for an upstream that is full, or has said so of late.
+	fullCost = 150.0 // ms
+	// fullFor is how long a refusal counts: load reports are that old.
+	fullFor = 200 * time.Millisecond
+	// runningCost is added for each running request: a step takes longer, and its
+	// prompt may still be under way.
+	runningCost = 0.6 // ms
+	// otherZoneCost is added outside the daemon's own zone, for the price of bytes
+	// between zones.
+	otherZoneCost = 4.0 // ms
+	// noise is the part by which estimates are blurred, so that daemons with the
+	// same knowledge do not all choose the same upstream.
+	noise = 0.15
+	// failCost is added for an upstream that fails all requests; in proportion
+	// for one that fails some.
+	failCost = 3000.0 // ms
+	// failDecay is the time after which a failure counts for a third.
+	failDecay = 3 * time.Second
+	// failWeight is how much one outcome moves the failure rate.
+	failWeight = 0.25
+	// speedWeight is how much one measurement moves the speed; it is dampened
+	// since prompts of others, of which nothing is known, are in it.
+	speedWeight = 0.1
+	minSpeed    = 0.4 // factor on the expected time
+	maxSpeed    = 12.0
+	// measuredTokens is the smallest prompt from which the speed is learnt.
+	measuredTokens = 400
+	// silentAfter an upstream has sent nothing on any connection although requests
+	// wait there, it counts as silent. A frozen link shows that way.
+	silentAfter = 700 * time.Millisecond
+	silentCost  = 5000.0 // ms
+	// reportFor is how long a load report of an upstream counts.
+	reportFor = 300 * time.Millisecond
+)
+
+// Part is a part of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Query describes a request.
+type Query struct {
+	Service string
+	Prompt  []Part // in order; the last belongs to the request itself
+	Tokens  int    // of the prompt where it names no parts
+	Exclude map[string]bool
+}
+
+// Choice is the upstream of one request.
+type Choice struct {
+	Upstream *roster.Upstream
+	Expected time.Duration // until the first event or the answer
+	Missing  int           // prompt tokens that the upstream has to read
+	Usable   int           // upstreams among which it was chosen
+}
+
+// Load is what a daemon has under way at an upstream.
+type Load struct {
+	Running int
+	Backlog int // prompt tokens not read yet
+}
+
+// Report is an upstream's word on its own load.
+type Report struct{ Running, Waiting, Slots int }
+
+// state is what is known of one incarnation of an upstream.
+type state struct {
+	up        *roster.Upstream
+	own       Load
+	others    map[string]Load // by daemon
+	report    Report
+	reported  time.Duration
+	fullUntil time.Duration
+	speed     float64 // factor on expected times; 1 is usual
+	work      float64 // ms of a plain request
+	fails     float64 // rate, 0 to 1
+	failedAt  time.Duration
+	heard     time.Duration // when it last sent anything
+	waitSince time.Duration // since when own requests wait without a word; 0 for none
+	cache     *cache
+}
+
+// Placer places the requests of one daemon. Its methods may be called from any
+// goroutine; now is a clock that counts while the VM is suspended.
+type Placer struct {
+	zone string
+
+	mu     sync.Mutex
+	ros    *roster.Roster
+	states map[roster.Key]*state
+	told   told
+}
+
+// New returns a placer of a daemon in zone.
+func New(zone string) *Placer {
+	return &Placer{zone: zone, ros: roster.New(nil), states: make(map[roster.Key]*state), told: told{next: make(map[string]uint64)}}
+}
+
+// Update puts a roster into force. What is known of upstreams that are gone or
+// have started again is dropped.
+func (p *Placer) Update(r *roster.Roster, cacheTokens func(service string) int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ros = r
+	states := make(map[roster.Key]*state, len(r.All()))
+	for _, u := range r.All() {
+		s := p.states[u.Key()]
+		if s == nil {
+			s = &state{speed: 1, work: plainWork, others: make(map[string]Load), cache: newCache()}
+		}
+		s.up = u
+		s.cache.limit = cacheTokens(u.Service)
+		states[u.Key()] = s
+	}
+	p.states = states
+}
+
+// Pick chooses an upstream and counts the request there, until Done is called
+// for the choice.
+func (p *Placer) Pick(q Query, now time.Duration) (Choice, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.ros.Usable(q.Service)
+	best, bestCost := Choice{}, math.Inf(1)
+	var bestExpected float64
+	for _, u := range list {
+		if q.Exclude[u.ID] {
+			continue
+		}
+		s := p.states[u.Key()]
+		if s == nil {
+			continue
+		}
+		best.Usable++
+		missing := s.missing(q, now)
+		expected := s.expected(missing, q, now)
+		cost := (expected + s.penalty(now, p.zone)) * (1 + noise*rand.Float64())
+		if cost < bestCost {
+			bestCost, bestExpected = cost, expected
+			best.Upstream, best.Missing = u, missing
+		}
+	}
+	if best.Upstream == nil {
+		return best, errors.Wrapf(ErrNone, "service %s", q.Service)
+	}
+	best.Expected = time.Duration(bestExpected * float64(time.Millisecond))
+	s := p.states[best.Upstream.Key()]
+	if s.own.Running == 0 || s.waitSince == 0 {
+		s.waitSince = now
+	}
+	s.own.Running++
+	s.own.Backlog += best.Missing
+	p.keep(s, q.Prompt, now)
+	return best, nil
+}
+
+// missing returns the prompt tokens that an upstream would have to read.
+func (s *state) missing(q Query, now time.Duration) int {
+	if len(q.Prompt) == 0 {
+		return q.Tokens
+	}
+	return s.cache.missing(q.Prompt, now)
+}
+
+// total returns what all daemons have under way at an upstream, as far as known.
+func (s *state) total(now time.Duration) Load {
+	sum := s.own
+	for _, l := range s.others {
+		sum.Running += l.Running
+		sum.Backlog += l.Backlog
+	}
+	if now-s.reported < reportFor {
+		sum.Running = max(sum.Running, s.report.Running+s.report.Waiting)
+	}
+	return sum
+}
+
+// expected returns the milliseconds until the first event or the answer.
+func (s *state) expected(missing int, q Query, now time.Duration) float64 {
+	l := s.total(now)
+	if len(q.Prompt) == 0 && q.Tokens == 0 {
+		queued := math.Max(float64(l.Running+1)/float64(max(s.up.Slots, 1)), 1)
+		return s.work * queued
+	}
+	return firstEvent + (float64(l.Backlog+missing)/readRate+runningCost*float64(l.Running))*s.speed
+}
+
+// penalty returns the milliseconds added for what speaks against an upstream.
+func (s *state) penalty(now time.Duration, zone string) float64 {
+	sum := 0.0
+	if s.up.Zone != zone {
+		sum += otherZoneCost
+	}
+	if l := s.total(now); float64(l.Running) >= fullPart*float64(s.up.Slots) {
+		sum += fullCost
+	}
+	if now < s.fullUntil {
+		sum += fullCost
+	}
+	sum += failCost * s.failRate(now)
+	if s.silent(now) {
+		sum += silentCost
+	}
+	return sum
+}
+
+func (s *state) failRate(now time.Duration) float64 {
+	return s.fails * math.Exp(-(now-s.failedAt).Seconds()/failDecay.Seconds())
+}
+
+// silent tells whether requests wait and nothing has come for long.
+func (s *state) silent(now time.Duration) bool {
+	return s.own.Running > 0 && s.waitSince > 0 && now-max(s.waitSince, s.heard) > silentAfter
+}
+
+// Silent tells whether an upstream has sent nothing for long on any connection
+// although requests wait there.
+func (p *Placer) Silent(k roster.Key, now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[k]
+	return s == nil || s.silent(now)
+}
+
+// Usable returns how many upstreams of a service take requests.
+func (p *Placer) Usable(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.ros.Usable(service))
+}
+
+// Free returns how many requests the upstreams of a service could take beside
+// those that are known to run there.
+func (p *Placer) Free(service string, now time.Duration) (free, slots int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range p.ros.Usable(service) {
+		if s := p.states[u.Key()]; s != nil {
+			free += max(u.Slots-s.total(now).Running, 0)
+			slots += u.Slots
+		}
+	}
+	return free, slots
+}
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,121 @@
+// Package usage counts the requests of each customer that began to run in each
+// window of time, over all daemons.
+package usage
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// keepWindows is how many windows are kept: reports are due two windows after
+// the end of theirs, and may be held up by an outage.
+const keepWindows = 16
+
+// Window is the count of one daemon for one window.
+type Window struct {
+	Number int64
+	Counts map[string]int64 // by customer
+}
+
+// Counter counts for one daemon and remembers what the others told. Its methods
+// may be called from any goroutine.
+type Counter struct {
+	length time.Duration
+
+	mu    sync.Mutex
+	own   map[int64]map[string]int64
+	peers map[source]map[int64]map[string]int64
+}
+
+// source is one incarnation of another daemon.
+type source struct {
+	name string
+	born int64
+}
+
+// New returns a counter for windows of the given length.
+func New(length time.Duration) *Counter {
+	return &Counter{length: length, own: make(map[int64]map[string]int64), peers: make(map[source]map[int64]map[string]int64)}
+}
+
+// Number returns the window of a time since 1970.
+func (c *Counter) Number(now time.Duration) int64 { return int64(now / c.length) }
+
+// End returns when a window ends, since 1970.
+func (c *Counter) End(number int64) time.Duration { return time.Duration(number+1) * c.length }
+
+// Began counts a request.
+func (c *Counter) Began(customer string, now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.Number(now)
+	w := c.own[n]
+	if w == nil {
+		w = make(map[string]int64)
+		c.own[n] = w
+		prune(c.own, n)
+	}
+	w[customer]++
+}
+
+// prune drops windows that are too old.
+func prune[T any](windows map[int64]T, newest int64) {
+	for n := range windows {
+		if n <= newest-keepWindows {
+			delete(windows, n)
+		}
+	}
+}
+
+// Local returns this daemon's newest windows, at most limit.
+func (c *Counter) Local(now time.Duration, limit int64) []Window {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []Window
+	for n := c.Number(now); n > c.Number(now)-limit; n-- {
+		if w := c.own[n]; w != nil {
+			list = append(list, Window{n, maps.Clone(w)})
+		}
+	}
+	return list
+}
+
+// Learn takes in the windows of another daemon. Counts only rise.
+func (c *Counter) Learn(name string, born int64, list []Window) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := source{name, born}
+	known := c.peers[s]
+	if known == nil {
+		known = make(map[int64]map[string]int64)
+		c.peers[s] = known
+	}
+	for _, w := range list {
+		old := known[w.Number]
+		if old == nil {
+			old = make(map[string]int64)
+			known[w.Number] = old
+			prune(known, w.Number)
+		}
+		for customer, n := range w.Counts {
+			old[customer] = max(old[customer], n)
+		}
+	}
+}
+
+// Sum returns the counts of a window over all daemons, as far as known.
+func (c *Counter) Sum(number int64) map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := make(map[string]int64)
+	for customer, n := range c.own[number] {
+		sum[customer] += n
+	}
+	for _, windows := range c.peers {
+		for customer, n := range windows[number] {
+			sum[customer] += n
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/views/views.go
@@ -0,0 +1,338 @@
+// Package views keeps a daemon's copy of tables of the platform's store: read
+// from the store's own changes, and from other daemons where these know more.
+//
+// A view never goes back: every row has a version, and only a higher one
+// replaces it.
+package views
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/lagoonmux/lagoonmux/internal/boottime"
+)
+
+// ErrHistoryGone says that changes after a version can no longer be read.
+var ErrHistoryGone = errors.New("history of the table is gone")
+
+// Row is one row of a table.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version int64
+	Removed bool // the row is gone; only in lists of changes
+}
+
+// Page is an answer of the store.
+type Page struct {
+	Rows    []Row
+	Version int64 // newest version of the store
+}
+
+// Source reads a table of the store. Its methods may be called from any
+// goroutine; their errors name step and peer.
+type Source interface {
+	// List returns all rows.
+	List(ctx context.Context, table string) (Page, error)
+	// Changes returns the rows changed after a version, waiting for one at most
+	// for wait. It returns ErrHistoryGone where a list has to be read instead.
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error)
+}
+
+const (
+	// changesWait bounds how long a connection that went silent hides changes:
+	// it must be well under the two seconds in which a change is to be in force.
+	changesWait = 1500 * time.Millisecond
+	// answerSlack is what an answer may take beyond the wait; a slow store's
+	// answers were seen to take 60 times 4 ms.
+	answerSlack = 600 * time.Millisecond
+	// listTimeout bounds reading a whole table.
+	listTimeout = 2 * time.Second
+	// retryMin and retryMax bound the random pause after an error: a daemon is
+	// back soon after the store is, and 460 daemons retry below 2,000 reads/s.
+	retryMin = 100 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+	// outageAfter is how long nothing must have been read for entries to lapse
+	// wrongly: they do after three heartbeats of 1.2 s, less one.
+	outageAfter = 2400 * time.Millisecond
+)
+
+// Config tells what a View keeps.
+type Config struct {
+	Table string
+	Log   hclog.Logger
+	// HoldFor keeps rows that were found gone right after an outage of the store
+	// for so long, since their owners may write them again. 0 keeps none.
+	HoldFor time.Duration
+	// OthersRead tells whether another daemon has been reading the store during
+	// this daemon's outage; rows that are gone then are gone.
+	OthersRead func() bool
+	// Changed is called with all rows after each change, from one goroutine at a
+	// time.
+	Changed func(rows map[string]Row)
+}
+
+// View is a copy of one table. Its methods may be called from any goroutine.
+type View struct {
+	Config
+	source Source
+
+	mu      sync.Mutex
+	rows    map[string]Row
+	held    map[string]time.Duration // boot time until which a row that is gone is kept
+	changed int64                    // version of the newest change known
+	after   int64                    // version up to which changes were read; 0 before the first list
+	readAt  time.Duration            // boot time of the last answer; 0 for none
+	upSince time.Duration            // boot time since which every read was answered; 0 while the store is away
+}
+
+// New returns an empty view.
+func New(source Source, c Config) *View {
+	return &View{Config: c, source: source, rows: make(map[string]Row), held: make(map[string]time.Duration)}
+}
+
+// Run reads the table until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := v.read(ctx); err != nil && ctx.Err() == nil {
+			v.lost(err)
+			pause(ctx, retryMin+rand.N(retryMax-retryMin))
+		}
+	}
+}
+
+// read makes one call of the store and applies its answer.
+func (v *View) read(ctx context.Context) error {
+	v.mu.Lock()
+	after := v.after
+	wait := changesWait
+	if v.upSince == 0 || len(v.held) > 0 {
+		wait = 0 // to know at once whether the store is back
+	}
+	v.mu.Unlock()
+	if after == 0 {
+		return v.list(ctx)
+	}
+	if wait == 0 && !v.away() {
+		pause(ctx, retryMin) // rows are held: look again soon
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
+	defer cancel()
+	page, err := v.source.Changes(callCtx, v.Table, after, wait)
+	if errors.Is(err, ErrHistoryGone) {
+		v.Log.Info("changes are gone, reading the whole table", "table", v.Table, "after", after)
+		return v.list(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	v.apply(page, false)
+	return nil
+}
+
+func (v *View) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	page, err := v.source.List(ctx, v.Table)
+	if err != nil {
+		return err
+	}
+	v.apply(page, true)
+	return nil
+}
+
+func (v *View) away() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.upSince == 0
+}
+
+// lost notes that the store did not answer.
+func (v *View) lost(err error) {
+	v.mu.Lock()
+	was := v.upSince
+	v.upSince = 0
+	v.mu.Unlock()
+	if was != 0 {
+		v.Log.Warn("store lost", "table", v.Table, "error", err)
+	}
+}
+
+// apply takes in an answer of the store; whole means that rows it lacks are gone.
+func (v *View) apply(page Page, whole bool) {
+	now := boottime.Now()
+	v.mu.Lock()
+	var until time.Duration
+	back := v.upSince == 0
+	outage := now - v.readAt
+	if back {
+		if v.HoldFor > 0 && v.readAt > 0 && outage > outageAfter && !v.OthersRead() {
+			until = now + v.HoldFor
+		}
+		v.upSince = now
+	}
+	v.readAt = now
+	v.after = max(v.after, page.Version)
+	dirty := v.expire(now)
+	floor := v.changed // an answer may have been under way while a daemon told more
+	for _, r := range page.Rows {
+		if _, known := v.rows[r.Key]; known || r.Version > floor {
+			dirty = v.put(r, until) || dirty
+		}
+	}
+	if whole {
+		dirty = v.dropMissing(page, until) || dirty
+	}
+	held := len(v.held)
+	v.mu.Unlock()
+	if back {
+		v.Log.Info("store reached", "table", v.Table, "after", outage, "version", page.Version, "held", held)
+	}
+	if dirty {
+		v.publish()
+	}
+}
+
+// put takes in one row and reports whether the rows changed. The caller holds mu.
+func (v *View) put(r Row, until time.Duration) bool {
+	old, known := v.rows[r.Key]
+	if known && old.Version >= r.Version {
+		return false
+	}
+	v.changed = max(v.changed, r.Version)
+	if !r.Removed {
+		delete(v.held, r.Key)
+		v.rows[r.Key] = r
+		return true
+	}
+	if !known {
+		return false
+	}
+	return v.drop(r.Key, until)
+}
+
+// drop forgets a row, or holds it if until is set. The caller holds mu.
+func (v *View) drop(key string, until time.Duration) bool {
+	if until > 0 {
+		if _, already := v.held[key]; !already {
+			v.held[key] = until
+		}
+		return false
+	}
+	delete(v.rows, key)
+	delete(v.held, key)
+	return true
+}
+
+// dropMissing drops the rows that a whole table lacks. The caller holds mu.
+func (v *View) dropMissing(page Page, until time.Duration) bool {
+	present := make(map[string]bool, len(page.Rows))
+	for _, r := range page.Rows {
+		present[r.Key] = true
+	}
+	dirty := false
+	for key, r := range v.rows {
+		if present[key] || r.Version > page.Version {
+			continue
+		}
+		v.changed = max(v.changed, page.Version)
+		dirty = v.drop(key, until) || dirty
+	}
+	return dirty
+}
+
+// expire drops rows that were held long enough. The caller holds mu.
+func (v *View) expire(now time.Duration) bool {
+	dirty := false
+	for key, until := range v.held {
+		if now >= until {
+			delete(v.rows, key)
+			delete(v.held, key)
+			dirty = true
+		}
+	}
+	return dirty
+}
+
+func (v *View) publish() {
+	v.mu.Lock()
+	rows := make(map[string]Row, len(v.rows))
+	for k, r := range v.rows {
+		rows[k] = r
+	}
+	v.mu.Unlock()
+	v.Changed(rows)
+}
+
+// Known returns the version of the newest change that the view knows.
+func (v *View) Known() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// UpFor returns how long the store has answered every read, 0 while it does not.
+func (v *View) UpFor() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.upSince == 0 {
+		return 0
+	}
+	return boottime.Now() - v.upSince
+}
+
+// ReadAge returns how long ago the store last answered, or a day if it never did.
+func (v *View) ReadAge() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.readAt == 0 {
+		return 24 * time.Hour
+	}
+	return boottime.Now() - v.readAt
+}
+
+// Snapshot returns the rows that are not held, with the version of the newest
+// change.
+func (v *View) Snapshot() ([]Row, int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	rows := make([]Row, 0, len(v.rows))
+	for k, r := range v.rows {
+		if _, held := v.held[k]; !held {
+			rows = append(rows, r)
+		}
+	}
+	return rows, v.changed
+}
+
+// Offer takes in the snapshot of another daemon if that knows a newer change.
+func (v *View) Offer(rows []Row, changed int64, from string) {
+	v.mu.Lock()
+	if changed <= v.changed {
+		v.mu.Unlock()
+		return
+	}
+	before := v.changed
+	for _, r := range rows {
+		v.put(r, 0)
+	}
+	v.dropMissing(Page{Rows: rows, Version: changed}, 0)
+	v.changed = max(v.changed, changed)
+	v.mu.Unlock()
+	v.Log.Info("table taken from a daemon", "table", v.Table, "peer", from, "before", before, "version", changed)
+	v.publish()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
