--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,266 @@
+package duty
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/boottime"
+	"github.com/lagoonmux/lagoonmux/internal/capacity"
+	"github.com/lagoonmux/lagoonmux/internal/truetime"
+	"github.com/lagoonmux/lagoonmux/internal/usage"
+)
+
+// errLost says that an answer was lost.
+var errLost = errors.New("answer lost")
+
+// fakeStore is a row with a version.
+type fakeStore struct {
+	value   []byte
+	version int64
+	lose    bool // writes are done and not answered
+	down    bool
+	writes  int
+}
+
+func (s *fakeStore) Read(context.Context, string, string) ([]byte, int64, error) {
+	if s.down {
+		return nil, 0, errLost
+	}
+	return s.value, s.version, nil
+}
+
+func (s *fakeStore) Write(_ context.Context, _, _ string, value []byte, version int64) (int64, error) {
+	if s.down {
+		return 0, errLost
+	}
+	s.writes++
+	if version != s.version {
+		return 0, ErrChanged
+	}
+	s.value, s.version = value, s.version+7
+	if s.lose {
+		return 0, errLost
+	}
+	return s.version, nil
+}
+
+// fakeCloud checks what must hold of fenced calls.
+type fakeCloud struct {
+	t       *testing.T
+	token   int64
+	holders map[int64]string
+	usage   map[int64]map[string]int64
+	orders  []capacity.Place
+	down    bool
+	none    bool
+	calls   int
+}
+
+func (c *fakeCloud) fence(f Fence) error {
+	c.calls++
+	if c.down {
+		return errLost
+	}
+	if f.Token < c.token {
+		return ErrFenced
+	}
+	if h, ok := c.holders[f.Token]; ok {
+		assert.Equal(c.t, h, f.Holder, "two holders of token %d", f.Token)
+	}
+	c.token, c.holders[f.Token] = f.Token, f.Holder
+	return nil
+}
+
+func (c *fakeCloud) Report(_ context.Context, f Fence, r Report) error {
+	if err := c.fence(f); err != nil {
+		return err
+	}
+	if old, ok := c.usage[r.Window]; ok {
+		assert.Assert(c.t, maps.Equal(old, r.Counts), "window %d: %v and %v", r.Window, old, r.Counts)
+	}
+	c.usage[r.Window] = r.Counts
+	return nil
+}
+
+func (c *fakeCloud) Order(_ context.Context, f Fence, p capacity.Place, _ int) error {
+	if err := c.fence(f); err != nil {
+		return err
+	}
+	if c.none {
+		return ErrFenced
+	}
+	c.orders = append(c.orders, p)
+	return nil
+}
+
+// world is a store, a cloud and the clock of the store.
+type world struct {
+	t     *testing.T
+	store *fakeStore
+	cloud *fakeCloud
+	ahead time.Duration // of the store's clock, to let leases lapse
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{t: t, store: &fakeStore{}, cloud: &fakeCloud{t: t, holders: make(map[int64]string), usage: make(map[int64]map[string]int64)}}
+}
+
+const lease3s = 3 * time.Second
+
+func (w *world) duty(name string) *Duty {
+	return New(Config{
+		Name: name, Born: 1, Lease: lease3s, Log: hclog.NewNullLogger(),
+		Store: w.store, Cloud: w.cloud, Clock: truetime.New(), Usage: usage.New(5 * time.Second),
+		Held:     func() bool { return false },
+		Complete: func() bool { return true },
+		EpochMS:  func() int64 { return 1_700_000_000_000 },
+		Plan:     func() map[capacity.Place]int { return nil },
+		Have:     func() map[capacity.Place]int { return nil },
+		Reports:  true,
+	})
+}
+
+// step lets a duty do what is due, with the store's clock as the world has it.
+func (w *world) step(d *Duty) {
+	now := boottime.Now()
+	d.Clock.Observe(now+w.ahead, now, now)
+	d.lookAt = 0
+	d.step(context.Background(), now)
+}
+
+// windows lets so many windows pass for all.
+func (w *world) windows(n int) { w.ahead += time.Duration(n) * 5 * time.Second }
+
+func TestOneHolderAtATime(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.duty("a"), w.duty("b")
+	w.step(a)
+	assert.Equal(t, a.Token(), int64(1))
+	w.step(b)
+	assert.Equal(t, b.Token(), int64(0))
+	w.ahead += lease3s + time.Millisecond
+	w.step(b)
+	assert.Equal(t, b.Token(), int64(2))
+	a.renewAt = 0
+	w.step(a)
+	assert.Equal(t, a.Token(), int64(0), "the row names another holder")
+}
+
+// TestPausedHolderDoesNotAct lets the lease lapse while the holder believes that
+// it holds it, as after a pause of the VM.
+func TestPausedHolderDoesNotAct(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.duty("a"), w.duty("b")
+	w.step(a)
+	w.windows(2)
+	w.step(b)
+	w.step(b)
+	w.step(b)
+	calls := w.cloud.calls
+	assert.Assert(t, calls > 0)
+	a.heldBy = boottime.Now() - time.Millisecond
+	w.step(a)
+	assert.Equal(t, w.cloud.calls, calls)
+	assert.Equal(t, a.Token(), int64(0))
+}
+
+func TestLostAnswerOfARenewal(t *testing.T) {
+	w := newWorld(t)
+	a := w.duty("a")
+	w.step(a)
+	w.store.lose = true
+	a.renewAt = 0
+	w.step(a)
+	assert.Equal(t, a.Token(), int64(1), "the row still names it")
+	w.store.lose = false
+	w.windows(2)
+	w.step(a)
+	w.step(a)
+	assert.Equal(t, a.Token(), int64(1))
+	assert.Assert(t, len(w.cloud.usage) > 0)
+}
+
+// TestNextHolderRepeatsToTheLetter changes the counts between two holders: what
+// was settled stays.
+func TestNextHolderRepeatsToTheLetter(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.duty("a"), w.duty("b")
+	w.step(a)
+	window := a.Usage.Number(a.Clock.Now())
+	a.Usage.Began("x", a.Clock.Now())
+	w.cloud.down = true
+	w.windows(1)
+	w.ahead += 2 * time.Second
+	w.step(a) // settles and tries to report
+	w.step(a)
+	assert.Equal(t, len(w.cloud.usage), 0)
+	a.heldBy = 0
+	w.step(a)
+	w.cloud.down = false
+	w.ahead += lease3s + 10*time.Millisecond
+	b.Usage.Began("x", b.Clock.Now()-6*time.Second)
+	w.step(b)
+	w.step(b)
+	assert.Equal(t, b.Token(), int64(2))
+	assert.DeepEqual(t, w.cloud.usage[window], map[string]int64{"x": 1})
+}
+
+func TestReleaseLetsTheNextActAtOnce(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.duty("a"), w.duty("b")
+	w.step(a)
+	a.release()
+	w.step(b)
+	assert.Equal(t, b.Token(), int64(2))
+}
+
+func TestWindowsWaitForDaemonsOutOfTouch(t *testing.T) {
+	w := newWorld(t)
+	a := w.duty("a")
+	complete := false
+	a.Complete = func() bool { return complete }
+	w.step(a)
+	first := a.row.Reported
+	w.windows(1)
+	w.ahead += settle
+	w.step(a)
+	assert.Equal(t, a.row.Reported, first)
+	complete = true
+	w.step(a)
+	assert.Equal(t, a.row.Reported, first+1)
+	complete = false
+	w.ahead += 5*time.Second + patience
+	w.step(a)
+	assert.Assert(t, a.row.Reported > first+1)
+}
+
+func TestRefusedOrderIsTriedAgainLater(t *testing.T) {
+	w := newWorld(t)
+	a := w.duty("a")
+	place := capacity.Place{Service: "s", Zone: "z", Kind: capacity.Reclaimable}
+	a.Plan = func() map[capacity.Place]int { return map[capacity.Place]int{place: 2} }
+	a.Have = func() map[capacity.Place]int { return nil }
+	w.cloud.none = true
+	w.step(a)
+	w.step(a)
+	calls := w.cloud.calls
+	assert.Equal(t, calls, 1)
+	w.step(a)
+	assert.Equal(t, w.cloud.calls, calls, "not at once")
+	assert.Equal(t, a.Token(), int64(1), "none to be had is no loss of the duty")
+	w.cloud.none = false
+	a.orders.next[place] = 0
+	w.step(a)
+	assert.Equal(t, len(w.cloud.orders), 1)
+	w.step(a)
+	assert.Equal(t, len(w.cloud.orders), 1, "the order stands")
+	a.orders.at[place] = boottime.Now() - reorderAfter
+	w.step(a)
+	assert.Equal(t, len(w.cloud.orders), 2, "fewer came than were ordered")
+}
--- /dev/null
+++ b/internal/egress/egress_test.go
@@ -0,0 +1,213 @@
+package egress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/loopback"
+)
+
+// peerServer answers each request on a connection with the next text.
+type peerServer struct {
+	address string
+	accepts chan struct{}
+}
+
+// serve starts a server; an answer that ends with "CLOSE" or "RESET" ends its
+// connection so.
+func serve(t *testing.T, pieces bool, answers ...string) *peerServer {
+	t.Helper()
+	address, err := loopback.Address()
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &peerServer{address: address, accepts: make(chan struct{}, 100)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.accepts <- struct{}{}
+			go answerAll(c, pieces, answers)
+		}
+	}()
+	return s
+}
+
+func answerAll(c net.Conn, pieces bool, answers []string) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for _, text := range answers {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		text, closes := strings.CutSuffix(text, "CLOSE")
+		text, resets := strings.CutSuffix(text, "RESET")
+		if pieces {
+			for i := range text {
+				_, _ = c.Write([]byte{text[i]})
+				time.Sleep(100 * time.Microsecond)
+			}
+		} else {
+			_, _ = io.WriteString(c, text)
+		}
+		if resets {
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		if closes {
+			return
+		}
+	}
+	_, _ = io.Copy(io.Discard, c)
+}
+
+const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// exchange makes one request and returns its body.
+func exchange(p *Pool, address string) (string, error) {
+	c, err := p.Get(context.Background(), address, 4)
+	if err != nil {
+		return "", err
+	}
+	defer c.Release()
+	if err := c.Start(context.Background(), []byte(request), nil); err != nil {
+		return "", err
+	}
+	var h fasthttp.ResponseHeader
+	if err := c.Head(&h, time.Second); err != nil {
+		return "", err
+	}
+	var body []byte
+	for err == nil {
+		body, err = c.Next(body, time.Second)
+	}
+	if err == io.EOF {
+		err = nil
+	}
+	return string(body), err
+}
+
+func TestFramings(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, tt := range map[string]struct {
+		text, body string
+		whole      bool
+	}{
+		"length":               {ok + "Content-Length: 5\r\n\r\nhello", "hello", true},
+		"no body":              {ok + "Content-Length: 0\r\n\r\n", "", true},
+		"no content":           {"HTTP/1.1 204 No Content\r\n\r\n", "", true},
+		"chunks":               {ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n", "hello", true},
+		"one chunk at the end": {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "hello", true},
+		"until the end":        {ok + "\r\nhelloCLOSE", "hello", true},
+		"after an interim":     {"HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nhello", "hello", true},
+		"reset":                {ok + "\r\nhelloRESET", "hello", false},
+		"shorter":              {ok + "Content-Length: 9\r\n\r\nhelloCLOSE", "hello", false},
+		"chunks cut":           {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhelloCLOSE", "hello", false},
+		"no last chunk":        {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nCLOSE", "hello", false},
+		"two lengths":          {ok + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello", "", false},
+		"not an answer":        {"nonsense\r\n\r\n", "", false},
+		"another protocol":     {"ICY 200 OK\r\n\r\n", "", false},
+		"cut head":             {ok + "Content-LenCLOSE", "", false},
+		"nothing":              {"CLOSE", "", false},
+	} {
+		for _, pieces := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				s := serve(t, pieces, tt.text)
+				body, err := exchange(NewPool(), s.address)
+				assert.Equal(t, err == nil, tt.whole, "%v", err)
+				assert.Equal(t, body, tt.body)
+			})
+		}
+	}
+}
+
+func TestConnectionsAreKeptOnlyWhereClean(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+	for name, tt := range map[string]struct {
+		text  string
+		dials int64
+	}{
+		"kept":           {answer + "\r\nhello", 1},
+		"asked to close": {answer + "Connection: close\r\n\r\nhello", 2},
+		"closed":         {answer + "\r\nhelloCLOSE", 2},
+		"bytes too many": {answer + "\r\nhelloHTTP/1.1 200 OK\r\n", 2},
+		"short timeout":  {answer + "Keep-Alive: timeout=0\r\n\r\nhello", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, false, tt.text, tt.text)
+			p := NewPool()
+			defer p.Close()
+			for range 2 {
+				body, err := exchange(p, s.address)
+				assert.NilError(t, err)
+				assert.Equal(t, body, "hello")
+				time.Sleep(400 * time.Millisecond)
+			}
+			_, dials := p.Stats()
+			assert.Equal(t, dials, tt.dials)
+		})
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	s := serve(t, false)
+	p := NewPool()
+	for range 3 {
+		_, err := p.Get(context.Background(), s.address, 3)
+		assert.NilError(t, err)
+	}
+	_, err := p.Get(context.Background(), s.address, 3)
+	assert.Assert(t, errors.Is(err, ErrBusy))
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	s := serve(t, false, "")
+	p := NewPool()
+	ctx, cancel := context.WithCancel(context.Background())
+	c, err := p.Get(ctx, s.address, 1)
+	assert.NilError(t, err)
+	assert.NilError(t, c.Start(ctx, []byte(request), nil))
+	time.AfterFunc(50*time.Millisecond, cancel)
+	var h fasthttp.ResponseHeader
+	began := time.Now()
+	assert.Assert(t, c.Head(&h, 5*time.Second) != nil)
+	assert.Assert(t, time.Since(began) < time.Second)
+	c.Close()
+	open, _ := p.Stats()
+	assert.Equal(t, open, 0)
+}
+
+func TestPatienceLeavesTheConnectionReadable(t *testing.T) {
+	s := serve(t, true, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+	p := NewPool()
+	c, err := p.Get(context.Background(), s.address, 1)
+	assert.NilError(t, err)
+	assert.NilError(t, c.Start(context.Background(), []byte(request), nil))
+	var h fasthttp.ResponseHeader
+	for err = ErrPatience; err == ErrPatience; {
+		err = c.Head(&h, time.Millisecond)
+	}
+	assert.NilError(t, err)
+	var body []byte
+	for err == nil || err == ErrPatience {
+		body, err = c.Next(body, time.Millisecond)
+	}
+	assert.Equal(t, err, io.EOF)
+	assert.Equal(t, string(body), "hello")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -348,3 +348,18 @@
 	n.grace.Store(int64(s.Grace))
 	n.log.Info("settings reloaded", "seeds", s.Seeds, "grace", s.Grace)
 }
+
+// Upstreams returns how many upstreams take requests, as far as known.
+func (n *Node) Upstreams() int {
+	sum := 0
+	for _, count := range n.fleet.have() {
+		sum += count
+	}
+	return sum
+}
+
+// StoreUp returns for how long the store has answered, 0 while it does not.
+func (n *Node) StoreUp() time.Duration { return n.storeUp() }
+
+// Booted is closed once the caller port is open.
+func (n *Node) Booted() <-chan struct{} { return n.server.Booted() }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -120,13 +120,15 @@
 
 // ended tells apart what the caller or the clock has ended.
 func (a *attempt) ended(ctx context.Context, e ending) ending {
-	if e == done || ctx.Err() == nil {
+	switch {
+	case e == done:
 		return e
+	case errors.Is(ctx.Err(), context.Canceled):
+		return gone
+	case ctx.Err() != nil || time.Until(a.deadline) <= 0:
+		return expired // a read may have run out of time just before ctx
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return expired
-	}
-	return gone
+	return e
 }
 
 func (a *attempt) exchange(ctx context.Context, left time.Duration) (ending, error) {
--- /dev/null
+++ b/internal/proxy/budget_test.go
@@ -0,0 +1,66 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestBudgetOverDaemons draws loads on daemons that never ask each other, with
+// every request repeated where allowed, and checks every window of the platform.
+func TestBudgetOverDaemons(t *testing.T) {
+	limit := BudgetLimit{Ratio: 0.2, Extra: 52, Window: 10 * time.Second}
+	for seed := range uint64(10) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		const daemons = 6
+		var list []*Budget
+		for range daemons {
+			b := NewBudget(limit)
+			b.SetDaemons(daemons)
+			list = append(list, b)
+		}
+		const step = 100 * time.Millisecond
+		var requests, repeats []int
+		for now := time.Hour; now < time.Hour+60*time.Second; now += step {
+			asked, again := 0, 0
+			burst := 1 + rnd.IntN(4)
+			for i, b := range list {
+				for range rnd.IntN(burst * (i + 1)) {
+					b.Request("s", now)
+					asked++
+					if b.Repeat("s", now) {
+						again++
+					}
+				}
+			}
+			requests, repeats = append(requests, asked), append(repeats, again)
+		}
+		const window = int(10 * time.Second / step)
+		for end := window; end <= len(requests); end++ {
+			asked, again := 0, 0
+			for i := end - window; i < end; i++ {
+				asked += requests[i]
+				again += repeats[i]
+			}
+			assert.Assert(t, float64(again) <= limit.Ratio*float64(asked)+limit.Extra, "seed %d: %d repeats of %d", seed, again, asked)
+		}
+	}
+}
+
+func TestBudgetServesSomeRepeats(t *testing.T) {
+	b := NewBudget(BudgetLimit{Ratio: 0.2, Extra: 52, Window: 10 * time.Second})
+	b.SetDaemons(6)
+	now := time.Hour
+	n := 0
+	for range 100 {
+		b.Request("s", now)
+		if b.Repeat("s", now) {
+			n++
+		}
+	}
+	assert.Assert(t, n >= 14, "%d", n)
+	assert.Assert(t, !b.Left("s", now))
+	assert.Assert(t, b.Left("s", now+20*time.Second), "the extra is there again")
+}
--- a/internal/routing/place/outcome.go
+++ b/internal/routing/place/outcome.go
@@ -31,7 +31,8 @@
 	s.own.Backlog = max(s.own.Backlog-c.Missing, 0)
 	ms := float64(took) / float64(time.Millisecond)
 	if c.Missing == 0 {
-		s.work += speedWeight * (ms - s.work)
+		s.work = average(s.work, ms)
+		p.works[s.up.Service] = average(p.works[s.up.Service], ms)
 		return
 	}
 	if c.Missing < measuredTokens || c.Expected <= 0 {
@@ -43,6 +44,14 @@
 	s.speed += speedWeight * (ratio - s.speed)
 }
 
+// average moves an average by one value; 0 is one that has seen none.
+func average(old, value float64) float64 {
+	if old == 0 {
+		return value
+	}
+	return old + speedWeight*(value-old)
+}
+
 // Heard notes that an upstream has sent something.
 func (p *Placer) Heard(k roster.Key, now time.Duration) {
 	p.mu.Lock()
--- a/internal/routing/place/place.go
+++ b/internal/routing/place/place.go
@@ -8,6 +8,7 @@
 package place
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -28,7 +29,8 @@
 	// firstEvent is the time to a first event where nothing is to be read: two
 	// steps and a round trip.
 	firstEvent = 15.0 // ms
-	// plainWork is assumed for a plain request until some were measured.
+	// plainWork is assumed for a plain request until some of its service were
+	// measured.
 	plainWork = 20.0 // ms
 	// fullPart of its slots taken, an upstream slows down or makes requests wait.
 	fullPart = 0.9
@@ -107,7 +109,7 @@
 	reported  time.Duration
 	fullUntil time.Duration
 	speed     float64 // factor on expected times; 1 is usual
-	work      float64 // ms of a plain request
+	work      float64 // ms of a plain request; 0 until one was measured
 	fails     float64 // rate, 0 to 1
 	failedAt  time.Duration
 	heard     time.Duration // when it last sent anything
@@ -123,12 +125,13 @@
 	mu     sync.Mutex
 	ros    *roster.Roster
 	states map[roster.Key]*state
+	works  map[string]float64 // ms of a plain request, by service
 	told   told
 }
 
 // New returns a placer of a daemon in zone.
 func New(zone string) *Placer {
-	return &Placer{zone: zone, ros: roster.New(nil), states: make(map[roster.Key]*state), told: told{next: make(map[string]uint64)}}
+	return &Placer{zone: zone, ros: roster.New(nil), states: make(map[roster.Key]*state), works: make(map[string]float64), told: told{next: make(map[string]uint64)}}
 }
 
 // Update puts a roster into force. What is known of upstreams that are gone or
@@ -141,7 +144,7 @@
 	for _, u := range r.All() {
 		s := p.states[u.Key()]
 		if s == nil {
-			s = &state{speed: 1, work: plainWork, others: make(map[string]Load), cache: newCache()}
+			s = &state{speed: 1, others: make(map[string]Load), cache: newCache()}
 		}
 		s.up = u
 		s.cache.limit = cacheTokens(u.Service)
@@ -168,7 +171,7 @@
 		}
 		best.Usable++
 		missing := s.missing(q, now)
-		expected := s.expected(missing, q, now)
+		expected := s.expected(missing, q, p.works[q.Service], now)
 		cost := (expected + s.penalty(now, p.zone)) * (1 + noise*rand.Float64())
 		if cost < bestCost {
 			bestCost, bestExpected = cost, expected
@@ -211,11 +214,12 @@
 }
 
 // expected returns the milliseconds until the first event or the answer.
-func (s *state) expected(missing int, q Query, now time.Duration) float64 {
+// usual is the time of a plain request of the service.
+func (s *state) expected(missing int, q Query, usual float64, now time.Duration) float64 {
 	l := s.total(now)
 	if len(q.Prompt) == 0 && q.Tokens == 0 {
 		queued := math.Max(float64(l.Running+1)/float64(max(s.up.Slots, 1)), 1)
-		return s.work * queued
+		return cmp.Or(s.work, usual, plainWork) * queued
 	}
 	return firstEvent + (float64(l.Backlog+missing)/readRate+runningCost*float64(l.Running))*s.speed
 }
