Quota: buckets start with half of the platform's tolerance, not empty

Ruled out: the start itself (config in force 30 ms after the process starts). Test: TestAllRestartUnderExcess.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,8 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	ClosedAfter time.Duration // refuse everything when the configuration is older; 0 for never
+	Tolerance   quota.Tolerance // of the limits of customers
+	ClosedAfter time.Duration   // refuse everything when the configuration is older; 0 for never
 	Lease       time.Duration
 	UsageWindow time.Duration
 
@@ -136,7 +137,7 @@
 		log:      log,
 		born:     time.Now().UnixNano(),
 		placer:   place.New(s.Zone),
-		quota:    quota.New(),
+		quota:    quota.New(s.Tolerance),
 		budget:   proxy.NewBudget(proxy.BudgetLimit{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow}),
 		work:     proxy.NewWork(),
 		pool:     egress.NewPool(),
--- a/internal/node/tell.go
+++ b/internal/node/tell.go
@@ -69,7 +69,7 @@
 	now := boottime.Now()
 	s.Leaving = n.stopping.Load()
 	for _, sp := range n.quota.Local(now) {
-		s.Spends = append(s.Spends, &meshpb.Spend{Customer: sp.Customer, Spent: sp.Spent, Demand: sp.Demand})
+		s.Spends = append(s.Spends, &meshpb.Spend{Customer: sp.Customer, Spent: sp.Spent, Demand: sp.Demand, Level: sp.Level})
 	}
 	for id, l := range n.placer.Local() {
 		s.Loads = append(s.Loads, &meshpb.Load{Upstream: id, Running: uint32(l.Running), Backlog: uint64(l.Backlog)})
@@ -96,7 +96,7 @@
 	now := boottime.Now()
 	spends := make([]quota.Spend, len(s.Spends))
 	for i, sp := range s.Spends {
-		spends[i] = quota.Spend{Customer: sp.Customer, Spent: sp.Spent, Demand: sp.Demand}
+		spends[i] = quota.Spend{Customer: sp.Customer, Spent: sp.Spent, Demand: sp.Demand, Level: sp.Level}
 	}
 	n.quota.Learn(s.Self.Name, s.Self.Born, spends, now)
 	loads := make(map[string]place.Load, len(s.Loads))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -43,6 +43,25 @@
 	Customer string
 	Spent    float64 // since the start of the daemon
 	Demand   float64 // a second, of late
+	Level    float64 // of the daemon's copy of the bucket
+}
+
+// Tolerance is what the platform lets pass beyond a limit in any window, since
+// no system of many daemons can know everything at once.
+type Tolerance struct {
+	Part   float64       // of what the limit allows in the window
+	Fixed  float64       // beside that
+	Window time.Duration // slides
+}
+
+// startPart is the part of the tolerance with which a bucket starts at a daemon
+// that cannot know what was taken before its start. Half of it is left for what
+// daemons do not yet know of each other.
+const startPart = 0.5
+
+// level returns what a bucket holds at the start of a daemon.
+func (t Tolerance) level(l Limit) float64 {
+	return math.Min(l.Burst, startPart*(t.Part*(l.Rate*t.Window.Seconds()+l.Burst)+t.Fixed))
 }
 
 // recent is an amount that others may not know of yet.
@@ -77,22 +96,29 @@
 	peers   map[string]*peer
 	all     int // daemons that may admit requests
 	touched int // of them, in touch with this one
+
+	tolerance Tolerance
+	started   bool // limits were set before
 }
 
 // New returns a keeper without limits.
-func New() *Keeper {
-	return &Keeper{buckets: make(map[string]*bucket), peers: make(map[string]*peer), all: 1, touched: 1}
+func New(t Tolerance) *Keeper {
+	return &Keeper{buckets: make(map[string]*bucket), peers: make(map[string]*peer), all: 1, touched: 1, tolerance: t}
 }
 
-// SetLimits puts limits into force. A new bucket starts empty: after a restart
-// nobody knows what was taken before it.
+// SetLimits puts limits into force. The first ones start with what the tolerance
+// allows: after a restart nobody knows what was taken before it. A bucket of a
+// customer that is new later starts full.
 func (k *Keeper) SetLimits(limits map[string]Limit, now time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for name, l := range limits {
 		b := k.buckets[name]
 		if b == nil {
-			b = &bucket{at: now, others: make(map[string]float64)}
+			b = &bucket{at: now, level: l.Burst, others: make(map[string]float64)}
+			if !k.started {
+				b.level = k.tolerance.level(l)
+			}
 			k.buckets[name] = b
 		}
 		k.refill(b, now)
@@ -104,6 +130,7 @@
 			delete(k.buckets, name)
 		}
 	}
+	k.started = true
 }
 
 // SetDaemons tells how many daemons may admit requests and how many of them are
@@ -224,13 +251,13 @@
 	list := make([]Spend, 0, len(k.buckets))
 	for name, b := range k.buckets {
 		b.decay(now)
-		list = append(list, Spend{Customer: name, Spent: b.spent, Demand: b.demand})
+		list = append(list, Spend{Customer: name, Spent: b.spent, Demand: b.demand, Level: b.level})
 	}
 	return list
 }
 
-// Learn takes in what another daemon has taken. The first word of an
-// incarnation that was running before this daemon heard of it counts from then.
+// Learn takes in what another daemon has taken. What it had taken before this
+// daemon first heard of it shows in the level of its bucket.
 func (k *Keeper) Learn(name string, born int64, spends []Spend, now time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -245,6 +272,9 @@
 		if !restarted {
 			for _, s := range spends {
 				p.spent[s.Customer] = s.Spent
+				if b := k.buckets[s.Customer]; b != nil {
+					b.level = math.Min(b.level, s.Level)
+				}
 			}
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -39,7 +39,7 @@
 }
 
 func (f *fleet) restart(i int) {
-	f.keepers[i] = New()
+	f.keepers[i] = New(tolerance)
 	f.born[i]++
 	f.keepers[i].SetLimits(map[string]Limit{customer: f.limit}, f.now)
 	f.touch()
@@ -116,9 +116,31 @@
 	return list
 }
 
-// bound is what the platform tolerates in a window of 8 s: a tenth more than
-// the limit, and 72,000 tokens.
-func bound(l Limit) float64 { return (l.Rate*8+l.Burst)*1.1 + 72000 }
+// tolerance is what the users' pages name.
+var tolerance = Tolerance{Part: 0.1, Fixed: 72000, Window: 8 * time.Second}
+
+// bound is what the platform tolerates in a window.
+func bound(l Limit) float64 {
+	usual := l.Rate*tolerance.Window.Seconds() + l.Burst
+	return usual*(1+tolerance.Part) + tolerance.Fixed
+}
+
+// TestAllRestartUnderExcess kills all daemons while a customer asks for many
+// times its limit, and again soon after: the new ones admit at once, and all
+// windows stay within the tolerance.
+func TestAllRestartUnderExcess(t *testing.T) {
+	limit := Limit{Rate: 480000, Burst: 480000}
+	f := newFleet(6, limit, 3)
+	f.play(10*time.Second, even(6, 1), 1)
+	f.play(9*time.Second, even(6, 2e6), 9000)
+	for i := range f.keepers {
+		f.restart(i)
+	}
+	_, admitted := f.play(300*time.Millisecond, even(6, 2e6), 9000)
+	assert.Assert(t, admitted >= 100000, "%v at once", admitted)
+	f.play(9*time.Second, even(6, 2e6), 9000)
+	assert.Assert(t, f.most(8*time.Second) <= bound(limit), "%v", f.most(8*time.Second))
+}
 
 func TestUsualDemandIsAdmitted(t *testing.T) {
 	f := newFleet(6, Limit{Rate: 480000, Burst: 480000}, 1)
@@ -176,7 +198,7 @@
 }
 
 func TestPauseOfTheProcessRefillsLittle(t *testing.T) {
-	k := New()
+	k := New(Tolerance{})
 	k.SetLimits(map[string]Limit{customer: {Rate: 1000, Burst: 1000}}, time.Hour)
 	k.SetDaemons(6, 6, time.Hour)
 	k.Take(customer, 1, time.Hour+10*time.Second)
@@ -184,7 +206,7 @@
 }
 
 func TestRefund(t *testing.T) {
-	k := New()
+	k := New(Tolerance{})
 	now := time.Hour
 	k.SetLimits(map[string]Limit{customer: {Rate: 100, Burst: 50}}, now)
 	now += 400 * time.Millisecond
