Drain: what could outlast it is refused, plain requests too

Only streams were refused late in a drain. After: from three eighths of the grace on, whatever may outlast it gets 503 and Connection: close. TestRequestsTooLateForADrainAreRefused failed before (EOF).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,8 +92,9 @@
 	// balancerSees is the time until the balancer sends no new connections: two
 	// questions a second apart, and a margin.
 	balancerSees = 2500 * time.Millisecond
-	// lateStreams are refused from then on after the signal to stop.
-	lateStreams = 3 * time.Second
+	// latePart of the grace has passed when requests are refused that could outlast
+	// it: those sent in the first 3 of 8 s must be served to their end.
+	latePart = 3.0 / 8
 	// stopMargin is left of the grace for giving up the duty.
 	stopMargin = 700 * time.Millisecond
 	// descriptorsSpare are kept for upstreams, the store and other daemons.
@@ -305,9 +306,11 @@
 func (n *Node) stop() error {
 	began := time.Now()
 	n.stopping.Store(true)
-	n.proxy.RefuseLate(began.Add(lateStreams))
-	n.log.Info("daemon stops", "connections", n.server.Connections(), "grace", time.Duration(n.grace.Load()))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(n.grace.Load())-stopMargin))
+	grace := time.Duration(n.grace.Load())
+	end := began.Add(grace - stopMargin)
+	n.proxy.SetDrain(proxy.Drain{LateFrom: began.Add(time.Duration(latePart * float64(grace))), End: end})
+	n.log.Info("daemon stops", "connections", n.server.Connections(), "grace", grace)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := n.server.Stop(ctx)
 	farewell, cancelFarewell := context.WithTimeout(context.Background(), stopMargin/2)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -109,7 +109,7 @@
 type Proxy struct {
 	Config
 	current atomic.Pointer[catalog.Config]
-	lateBy  atomic.Int64 // unix nanoseconds after which a drain refuses long requests; 0 before a drain
+	drain   atomic.Pointer[Drain]
 }
 
 // New returns a proxy that refuses everything until SetCatalog.
@@ -121,13 +121,19 @@
 // Catalog returns the configuration in force, or nil.
 func (p *Proxy) Catalog() *catalog.Config { return p.current.Load() }
 
-// RefuseLate makes the proxy refuse streams from t on: they could outlast the
-// drain.
-func (p *Proxy) RefuseLate(t time.Time) { p.lateBy.Store(t.UnixNano()) }
+// Drain tells when a drain under way ends.
+type Drain struct {
+	LateFrom time.Time // requests from then on must be over by End
+	End      time.Time // of the process
+}
+
+// SetDrain makes the proxy refuse what could outlast a drain.
+func (p *Proxy) SetDrain(d Drain) { p.drain.Store(&d) }
 
-func (p *Proxy) late(now time.Time) bool {
-	by := p.lateBy.Load()
-	return by != 0 && now.UnixNano() >= by
+// late tells whether a request could outlast a drain.
+func (p *Proxy) late(arrived, deadline time.Time) bool {
+	d := p.drain.Load()
+	return d != nil && arrived.After(d.LateFrom) && deadline.After(d.End)
 }
 
 // Precheck implements ingress.Handler.
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -86,7 +86,7 @@
 		patience = min(patience, req.Patience)
 	}
 	t.deadline = t.x.Arrived.Add(patience)
-	if t.route.Kind == catalog.Stream && t.late(t.x.Arrived) {
+	if t.late(t.x.Arrived, t.deadline) {
 		return &refusal{fasthttp.StatusServiceUnavailable, shortRetry, "daemon stops"}
 	}
 	return t.charge()
