Mesh: states that waited at a daemon that stood still are dropped

Cause: a daemon that woke from a freeze of 7 s read the calls that others had made meanwhile, one after the other, as if they were new; its buckets fell to -1,200,000 tokens, and every daemon that started then took the lowest level over. Ruled out: parts of the limit left to daemons out of touch (part was 1.00 in most refusals).

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -36,6 +36,9 @@
 	// slowAfter failures in a row a daemon is called every slowInterval only.
 	slowAfter    = 20
 	slowInterval = time.Second
+	// maxAge is how much longer than the quickest a state may have taken. Older ones
+	// waited at a daemon that stood still, and tell of the past.
+	maxAge = time.Second
 	// Touch is how long a daemon counts as reached after it was last heard: some
 	// calls may be lost.
 	Touch = time.Second
@@ -66,6 +69,7 @@
 	State   *meshpb.State // last heard; nil before
 	heard   time.Duration // boot time; 0 for never
 	learned time.Duration // boot time
+	offset  time.Duration // least difference seen between arrival and sending, by both boot clocks
 	upSeen  time.Duration // boot time at which it last told of a store that answered for a second
 }
 
@@ -171,7 +175,7 @@
 		if p == nil {
 			m.peers[d.Name] = &Peer{Daemon: d, learned: now}
 		} else if p.Daemon.Born < d.Born {
-			p.Daemon, p.learned = d, now
+			p.Daemon, p.learned, p.offset = d, now, 0
 		}
 		m.mu.Unlock()
 		m.addLink(d.Address)
@@ -192,6 +196,10 @@
 		m.mu.Unlock()
 		return // an earlier incarnation
 	}
+	if p.stale(s, now) {
+		m.mu.Unlock()
+		return
+	}
 	fresh := p.heard == 0 || now-p.heard > Touch
 	p.State, p.heard = s, now
 	if s.StoreUpMs > int64(Touch/time.Millisecond) {
@@ -204,9 +212,18 @@
 	m.Heard(s)
 }
 
+// stale tells whether a state was on its way for too long.
+func (p *Peer) stale(s *meshpb.State, now time.Duration) bool {
+	offset := now - time.Duration(s.SentMs)*time.Millisecond
+	if p.offset == 0 || offset < p.offset {
+		p.offset = offset
+	}
+	return offset-p.offset > maxAge
+}
+
 // state returns what this daemon tells to the one with the given name.
 func (m *Mesh) state(to string) *meshpb.State {
-	s := &meshpb.State{Self: m.Self, StoreUpMs: m.StoreUp().Milliseconds()}
+	s := &meshpb.State{Self: m.Self, SentMs: boottime.Now().Milliseconds(), StoreUpMs: m.StoreUp().Milliseconds()}
 	for name, v := range m.Views {
 		s.Tables = append(s.Tables, &meshpb.Table{Name: name, Changed: v.Known()})
 	}
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -140,9 +141,10 @@
 			t.cost = c.PlainTokens
 		}
 	}
-	ok, wait := t.Quota.Take(c.Name, t.cost, boottime.Now())
-	if !ok {
-		return &refusal{fasthttp.StatusTooManyRequests, wait, "customer over its limit"}
+	d := t.Quota.Take(c.Name, t.cost, boottime.Now())
+	if !d.OK {
+		reason := fmt.Sprintf("customer over its limit, cost %.0f level %.0f mine %.0f share %.2f part %.2f", t.cost, d.Level, d.Mine, d.Share, d.Part)
+		return &refusal{fasthttp.StatusTooManyRequests, d.Wait, reason}
 	}
 	t.charged = true
 	return nil
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -160,29 +160,40 @@
 	b.level = math.Min(b.level+b.limit.Rate*step.Seconds()*k.part(), b.limit.Burst)
 }
 
-// Take admits a request of the given cost, or returns how long its caller
-// should wait before it asks again.
-func (k *Keeper) Take(customer string, cost float64, now time.Duration) (bool, time.Duration) {
+// Decision tells whether a request was admitted, and by what.
+type Decision struct {
+	OK    bool
+	Wait  time.Duration // before the caller should ask again
+	Level float64       // of this daemon's copy of the bucket
+	Mine  float64       // taken here of late, so that others may not know of it
+	Share float64       // of this daemon among those in touch
+	Part  float64       // of the limit that the daemons in touch may use
+}
+
+// Take admits a request of the given cost, or tells its caller to wait.
+func (k *Keeper) Take(customer string, cost float64, now time.Duration) Decision {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	b := k.buckets[customer]
 	if b == nil || b.limit.Rate <= 0 {
-		return true, 0
+		return Decision{OK: true}
 	}
 	k.refill(b, now)
 	b.note(cost, now)
 	mine := b.forget(now)
-	usable := (b.level + mine) * k.part()
-	share := k.share(b)
+	d := Decision{Level: b.level, Mine: mine, Share: k.share(b), Part: k.part()}
+	usable := (b.level + mine) * d.Part
 	// What is taken too much by the last request is paid back from the refill, so
 	// that large requests are admitted as often as small ones.
-	if usable <= 0 || mine >= share*usable {
-		return false, b.wait(mine-share*usable, share*k.part())
+	if usable <= 0 || mine >= d.Share*usable {
+		d.Wait = b.wait(mine-d.Share*usable, d.Share*d.Part)
+		return d
 	}
 	b.level -= cost
 	b.spent += cost
 	b.recent = append(b.recent, recent{now, cost})
-	return true, 0
+	d.OK = true
+	return d
 }
 
 // note counts a request among those asked for.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -95,7 +95,7 @@
 					break
 				}
 				asked += cost
-				if ok, _ := k.Take(customer, cost, f.now); ok {
+				if k.Take(customer, cost, f.now).OK {
 					admitted += cost
 					f.taken = append(f.taken, taken{f.now, cost})
 				}
@@ -223,7 +223,7 @@
 					continue
 				}
 				asked[i]++
-				if ok, _ := k.Take(customer, cost, f.now); ok {
+				if k.Take(customer, cost, f.now).OK {
 					admitted[i]++
 					f.taken = append(f.taken, taken{f.now, cost})
 				}
@@ -271,7 +271,7 @@
 	f.play(7*time.Second, even(6, 2e6), 9000)
 	woken, admitted := f.keepers[2], 0.0
 	for range 100 {
-		if ok, _ := woken.Take(customer, 9000, f.now); ok {
+		if woken.Take(customer, 9000, f.now).OK {
 			admitted += 9000
 		}
 	}
@@ -290,12 +290,10 @@
 	now := time.Hour
 	k.SetLimits(map[string]Limit{customer: {Rate: 100, Burst: 50}}, now)
 	now += 400 * time.Millisecond
-	ok, _ := k.Take(customer, 40, now)
-	assert.Assert(t, ok)
-	ok, wait := k.Take(customer, 40, now)
-	assert.Assert(t, !ok && wait >= minRetry && wait <= maxRetry)
+	assert.Assert(t, k.Take(customer, 40, now).OK)
+	d := k.Take(customer, 40, now)
+	assert.Assert(t, !d.OK && d.Wait >= minRetry && d.Wait <= maxRetry)
 	k.Refund(customer, 40)
-	ok, _ = k.Take(customer, 40, now)
-	assert.Assert(t, ok)
+	assert.Assert(t, k.Take(customer, 40, now).OK)
 	assert.Equal(t, k.Local(now)[0].Spent, 40.0)
 }
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -90,10 +90,10 @@
 	mu      sync.Mutex
 	rows    map[string]Row
 	held    map[string]holding
-	changed int64                    // version of the newest change known
-	after   int64                    // version up to which changes were read; 0 before the first list
-	readAt  time.Duration            // boot time of the last answer; 0 for none
-	upSince time.Duration            // boot time since which every read was answered; 0 while the store is away
+	changed int64         // version of the newest change known
+	after   int64         // version up to which changes were read; 0 before the first list
+	readAt  time.Duration // boot time of the last answer; 0 for none
+	upSince time.Duration // boot time since which every read was answered; 0 while the store is away
 }
 
 // New returns an empty view.
