--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -18,9 +18,9 @@
 const (
 	// busyFirm is the part of their time for which on-demand upstreams alone may
 	// be busy; above it first events come late (docs/ROUTING.md).
-	busyFirm = 0.65
+	busyFirm = 0.72
 	// busyAll is the same for all upstreams together.
-	busyAll = 0.4
+	busyAll = 0.45
 	// holdFor is how long a lower count must have been enough before upstreams are
 	// given back: a wave of the load returns sooner than one boots.
 	holdFor = 8 * time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,8 +101,9 @@
 	// latePart of the grace has passed when requests are refused that could outlast
 	// it: those sent in the first 3 of 8 s must be served to their end.
 	latePart = 3.0 / 8
-	// stopMargin is left of the grace for giving up the duty.
-	stopMargin = 700 * time.Millisecond
+	// stopMargin is left of the grace for the farewell; what is still at work in the
+	// last sixth of it may be cut.
+	stopMargin = 1200 * time.Millisecond
 	// descriptorsSpare are kept for upstreams, the store and other daemons.
 	descriptorsSpare = 1500
 	defaultMaxConns  = 2000
