--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -316,16 +316,20 @@
 
 // OthersRead tells whether a daemon has told within the last moments that the
 // store answers it and has done so for a while.
-func (m *Mesh) OthersRead() bool {
+func (m *Mesh) OthersRead() bool { return m.OthersReadAge() <= Touch }
+
+// OthersReadAge returns how long ago a daemon last told so, a day if none did.
+func (m *Mesh) OthersReadAge() time.Duration {
 	now := boottime.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	age := 24 * time.Hour
 	for _, p := range m.peers {
-		if p.upSeen > 0 && now-p.upSeen <= Touch {
-			return true
+		if p.upSeen > 0 {
+			age = min(age, now-p.upSeen)
 		}
 	}
-	return false
+	return age
 }
 
 // dial connects to a daemon.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -164,6 +164,7 @@
 		Work:     n.work,
 		Observer: n,
 		Fresh:    n.fresh,
+		Closed:   n.closed,
 		Daemons:  func() int { all, _ := n.mesh.Count(); return all },
 	})
 	n.server = ingress.NewServer(n.proxy, log.Named("ingress"), n.limits(catalog.Limits{}))
@@ -216,6 +217,11 @@
 	return n.config.ReadAge() < freshFor || n.mesh.OthersRead()
 }
 
+// closed tells whether the configuration is too old to let customers in by it.
+func (n *Node) closed() bool {
+	return n.ClosedAfter > 0 && min(n.config.ReadAge(), n.mesh.OthersReadAge()) > n.ClosedAfter
+}
+
 // onConfig puts a new configuration into force.
 func (n *Node) onConfig(rows map[string]views.Row) {
 	row, ok := rows[n.ConfigRow]
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -101,6 +101,9 @@
 	// Fresh tells whether the configuration is known to be the newest; a route or
 	// key that it lacks is denied only then.
 	Fresh func() bool
+	// Closed tells whether the configuration is so old that nobody may be let in by
+	// the keys that it holds.
+	Closed func() bool
 	// Daemons returns how many daemons share the connections of an upstream.
 	Daemons func() int
 }
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -103,6 +103,9 @@
 	t.record.Kind = t.route.Kind
 	priority := t.route.Priority
 	if c.NeedsKey(t.route) {
+		if t.Closed() {
+			return &refusal{fasthttp.StatusServiceUnavailable, noneRetry, "configuration is too old to check keys by"}
+		}
 		if t.customer = c.Customer(t.req.Key); t.customer == nil {
 			return t.deny(fasthttp.StatusUnauthorized, "unknown key")
 		}
