--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -27,6 +27,10 @@
 	// equalPart is the part of the bucket that is shared out evenly, so that a
 	// daemon on which a customer shows up anew can admit at once.
 	equalPart = 0.4
+	// overcommit is how much more than its share a daemon may take before others
+	// know of it: callers that come back together after an outage are not spread
+	// evenly, and a bucket that was drawn below zero pays that back.
+	overcommit = 1.6
 	// minRetry and maxRetry bound what a refused caller is told to wait.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 5 * time.Second
@@ -185,8 +189,9 @@
 	usable := (b.level + mine) * d.Part
 	// What is taken too much by the last request is paid back from the refill, so
 	// that large requests are admitted as often as small ones.
-	if usable <= 0 || mine >= d.Share*usable {
-		d.Wait = b.wait(mine-d.Share*usable, d.Share*d.Part)
+	mayTake := math.Min(overcommit*d.Share, 1) * usable
+	if usable <= 0 || mine >= mayTake {
+		d.Wait = b.wait(mine-mayTake, d.Share*d.Part)
 		return d
 	}
 	b.level -= cost
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -157,6 +157,17 @@
 	}
 }
 
+// TestUnevenReturnAfterARestart replays callers that come back together, most of
+// them to two of the new daemons: nobody within the limit is refused.
+func TestUnevenReturnAfterARestart(t *testing.T) {
+	limit := Limit{Rate: 480000, Burst: 480000}
+	f := newFleet(6, limit, 3)
+	f.play(500*time.Millisecond, even(6, 1), 1)
+	back := []float64{340000, 200000, 90000, 60000, 40000, 20000}
+	asked, admitted := f.play(time.Second, back, 5000)
+	assert.Assert(t, admitted >= 0.95*asked, "%v of %v", admitted, asked)
+}
+
 // TestAllRestartUnderExcess kills all daemons while a customer asks for many
 // times its limit, and again soon after: the new ones admit at once, and all
 // windows stay within the tolerance.
