Completions as stock clients send them: content in parts, errors as JSON objects, a list of models

Tried as a new user would: content as an array was refused (cannot unmarshal array), errors were plain text, GET /v1/models had no path. Unknown fields stay accepted; max_completion_tokens is read.

--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -71,7 +71,7 @@
 }
 
 func newRequest(address string, m *Mix, a *Ask) (*fasthttp.Request, error) {
-	body, err := json.Marshal(&completion.Request{Model: serviceName, Prompt: a.Prompt, MaxTokens: a.Answer, Stream: true})
+	body, err := json.Marshal(&completion.Request{Model: serviceName, Prompt: completion.Text(a.Prompt), MaxTokens: a.Answer, Stream: true})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode request")
 	}
--- a/internal/completion/answer.go
+++ b/internal/completion/answer.go
@@ -17,7 +17,7 @@
 	}
 	if chat {
 		r.Object = objectChunk
-		c.Delta = &Message{Role: assistant, Content: text}
+		c.Delta = &Message{Role: assistant, Content: Text(text)}
 		return r
 	}
 	c.Text = text
@@ -31,7 +31,7 @@
 	if chat {
 		r.Object = objectChat
 		r.Choices[0].Text = ""
-		r.Choices[0].Message = &Message{Role: assistant, Content: text}
+		r.Choices[0].Message = &Message{Role: assistant, Content: Text(text)}
 	}
 	return r
 }
--- a/internal/completion/completion.go
+++ b/internal/completion/completion.go
@@ -13,14 +13,17 @@
 const (
 	Path     = "/v1/completions"
 	ChatPath = "/v1/chat/completions"
+	// ModelsPath lists the models that can be asked.
+	ModelsPath = "/v1/models"
 )
 
 // Request is the body of a completions call.
 type Request struct {
 	Model     string    `json:"model"`
-	Prompt    string    `json:"prompt,omitempty"`
+	Prompt    Text      `json:"prompt,omitempty"`
 	Messages  []Message `json:"messages,omitempty"` // chat only
 	MaxTokens int       `json:"max_tokens,omitempty"`
+	MaxNew    int       `json:"max_completion_tokens,omitempty"` // newer name of the same, of callers only
 	Stream    bool      `json:"stream,omitempty"`
 
 	// Fields for engines only.
@@ -34,7 +37,7 @@
 // Message is one turn of a chat.
 type Message struct {
 	Role    string `json:"role"`
-	Content string `json:"content"`
+	Content Text   `json:"content"`
 }
 
 // Choice is one alternative of an answer. Text is set for completions, Delta or
@@ -79,6 +82,10 @@
 	if !chat && r.Prompt == "" {
 		return nil, errors.New("prompt is required")
 	}
+	if r.MaxTokens == 0 {
+		r.MaxTokens = r.MaxNew
+	}
+	r.MaxNew = 0
 	if r.MaxTokens < 0 {
 		return nil, errors.New("max_tokens must not be negative")
 	}
@@ -88,13 +95,13 @@
 // Text returns the prompt as one text: for a chat, its turns in order.
 func (r *Request) Text() string {
 	if len(r.Messages) == 0 {
-		return r.Prompt
+		return string(r.Prompt)
 	}
 	var b strings.Builder
 	for _, m := range r.Messages {
 		b.WriteString(m.Role)
 		b.WriteString(": ")
-		b.WriteString(m.Content)
+		b.WriteString(string(m.Content))
 		b.WriteByte('\n')
 	}
 	return b.String()
@@ -108,7 +115,7 @@
 	c := &r.Choices[0]
 	text = c.Text
 	if c.Delta != nil {
-		text = c.Delta.Content
+		text = string(c.Delta.Content)
 	}
 	if c.FinishReason != nil {
 		finish = *c.FinishReason
--- /dev/null
+++ b/internal/completion/text.go
@@ -0,0 +1,101 @@
+package completion
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// textPart is the only kind of content part that is understood.
+const textPart = "text"
+
+// Text is a text that clients send in one of several forms: a string, null, a
+// list of content parts, or a list of strings. It is sent on as a string.
+type Text string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (t *Text) UnmarshalJSON(data []byte) error {
+	var one *string
+	if json.Unmarshal(data, &one) == nil {
+		if one != nil {
+			*t = Text(*one)
+		}
+		return nil
+	}
+	var parts []json.RawMessage
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return errors.New("text must be a string or a list of text parts")
+	}
+	var b strings.Builder
+	for i, raw := range parts {
+		part, err := decodePart(raw)
+		if err != nil {
+			return errors.Wrapf(err, "part %d", i)
+		}
+		b.WriteString(part)
+	}
+	*t = Text(b.String())
+	return nil
+}
+
+func decodePart(raw json.RawMessage) (string, error) {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, nil
+	}
+	var part struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &part); err != nil {
+		return "", errors.New("must be a string or an object with type and text")
+	}
+	if part.Type != textPart {
+		return "", errors.Errorf("type %q is not served, only %q", part.Type, textPart)
+	}
+	return part.Text, nil
+}
+
+// Failure is the body of an answer that is an error, as clients of completions
+// expect it.
+type Failure struct {
+	Error FailureDetail `json:"error"`
+}
+
+// FailureDetail tells what went wrong.
+type FailureDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"` // of the error, for programs
+	Code    string `json:"code"` // outcome of the request
+}
+
+// Types of failures.
+const (
+	TypeInvalid = "invalid_request_error"
+	TypeKey     = "authentication_error"
+	TypeLimit   = "rate_limit_error"
+	TypeServer  = "server_error"
+)
+
+// ModelList is the body of the answer to a question for models.
+type ModelList struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
+}
+
+// Model names a model that a customer can ask.
+type Model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// NewModelList returns the list of the named models.
+func NewModelList(names []string) ModelList {
+	l := ModelList{Object: "list", Data: []Model{}}
+	for _, n := range names {
+		l.Data = append(l.Data, Model{ID: n, Object: "model", OwnedBy: "lagoonmux"})
+	}
+	return l
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -216,7 +216,7 @@
 func fillEngineRequest(req *fasthttp.Request, c *call.Call, u *manifest.Upstream, attempt int, ans *answer) error {
 	body, err := json.Marshal(&completion.Request{
 		Model:      c.Service.Name,
-		Prompt:     c.Prompt,
+		Prompt:     completion.Text(c.Prompt),
 		MaxTokens:  c.MaxTokens,
 		Stream:     true,
 		RequestID:  c.ID,
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/completion"
 	"github.com/lagoonmux/lagoonmux/internal/ingress"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/obs"
@@ -112,6 +114,8 @@
 	switch {
 	case strings.HasPrefix(path, servicePrefix):
 		a.servePlain(ctx, x, c, path)
+	case path == completion.ModelsPath:
+		a.serveModels(x, c)
 	case modelPath(path):
 		a.serveModel(ctx, x, c, path)
 	case strings.HasPrefix(path, requestsPrefix) && a.requests != nil:
@@ -279,10 +283,45 @@
 	}
 	x.seen.Status = resp.StatusCode()
 	x.seen.Outcome = call.Outcome(resp.Header.Peek(HeaderOutcome))
-	resp.SetBodyString(err.Error() + "\n")
+	code := string(x.seen.Outcome)
+	body, merr := json.Marshal(completion.Failure{Error: completion.FailureDetail{Message: err.Error(), Type: failureType(x.seen.Status), Code: code}})
+	if merr == nil { // texts always encode
+		resp.Header.SetContentType(typeJSON)
+		resp.SetBodyRaw(body)
+	}
 	_ = x.Respond(resp)
 }
 
+// failureType tells programs what kind of error a status is.
+func failureType(status int) string {
+	switch {
+	case status == fasthttp.StatusUnauthorized:
+		return completion.TypeKey
+	case status == fasthttp.StatusTooManyRequests:
+		return completion.TypeLimit
+	case status < fasthttp.StatusInternalServerError:
+		return completion.TypeInvalid
+	}
+	return completion.TypeServer
+}
+
+// serveModels lists the model services.
+func (a *API) serveModels(x *exchange, c *call.Call) {
+	if !x.Request.Header.IsGet() {
+		x.respondError(c, refuse(fasthttp.StatusMethodNotAllowed, "use GET"))
+		return
+	}
+	var names []string
+	for i := range c.Active.Services {
+		if s := &c.Active.Services[i]; s.Kind == manifest.Model {
+			names = append(names, s.Name)
+		}
+	}
+	resp := fasthttp.AcquireResponse()
+	resp.Header.Set(HeaderRequestID, c.ID)
+	x.respondJSON(resp, fasthttp.StatusOK, completion.NewModelList(names))
+}
+
 func setRetryAfter(resp *fasthttp.Response, ce *call.Error) {
 	if ce.Outcome != call.NotRun {
 		return
--- a/internal/standin/check/callers.go
+++ b/internal/standin/check/callers.go
@@ -126,7 +126,7 @@
 }
 
 func (r *runner) completion(id string, tokens int, stream bool) string {
-	body, err := json.Marshal(completion.Request{Model: r.Model, Prompt: r.prompt(id), MaxTokens: tokens, Stream: stream})
+	body, err := json.Marshal(completion.Request{Model: r.Model, Prompt: completion.Text(r.prompt(id)), MaxTokens: tokens, Stream: stream})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -84,7 +84,7 @@
 		text, _ := chunk.FirstChoice()
 		index := want.ResumeFrom + n
 		assert.Equal(t, e.ID, int64(index))
-		assert.Equal(t, text, completion.WordAt(want.Prompt, index))
+		assert.Equal(t, text, completion.WordAt(string(want.Prompt), index))
 		assert.Equal(t, chunk.ID, want.RequestID)
 		assert.Equal(t, chunk.Attempt, want.Attempt)
 		if n == 0 {
@@ -104,7 +104,7 @@
 }
 
 func request(id, prompt string, n int) completion.Request {
-	return completion.Request{Model: "m", Prompt: prompt, MaxTokens: n, Stream: true, RequestID: id, Attempt: 1}
+	return completion.Request{Model: "m", Prompt: completion.Text(prompt), MaxTokens: n, Stream: true, RequestID: id, Attempt: 1}
 }
 
 var (
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -97,8 +97,8 @@
 		id:       req.RequestID,
 		attempt:  req.Attempt,
 		priority: req.Priority,
-		context:  req.Prompt + req.ResumeText,
-		words:    completion.NewWords(req.Prompt),
+		context:  string(req.Prompt) + req.ResumeText,
+		words:    completion.NewWords(string(req.Prompt)),
 		first:    req.ResumeFrom,
 		next:     req.ResumeFrom,
 		end:      req.MaxTokens,
@@ -120,7 +120,7 @@
 	}
 	if _, ok := e.set.Draw(faults.Crossed, completion.Path); ok {
 		w.id = "crossed-" + s.id
-		w.words = completion.NewWords("crossed" + req.Prompt)
+		w.words = completion.NewWords("crossed" + string(req.Prompt))
 	}
 	return w
 }
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -59,7 +59,7 @@
 func (d *fakeDaemon) stream(req *completion.Request) io.Reader {
 	var wire []byte
 	for i := range req.MaxTokens {
-		id, text, finish := "id-1", completion.WordAt(req.Prompt, i), ""
+		id, text, finish := "id-1", completion.WordAt(string(req.Prompt), i), ""
 		last := i == req.MaxTokens-1
 		if last {
 			finish = "length"
@@ -126,7 +126,7 @@
 	if ctx.IsPost() {
 		req, _ := completion.Parse(ctx.PostBody(), false)
 		id := fmt.Sprintf("lot-%d", len(d.answers))
-		text := wholeText(&request{prompt: req.Prompt, tokens: req.MaxTokens}) + d.spoil
+		text := wholeText(&request{prompt: string(req.Prompt), tokens: req.MaxTokens}) + d.spoil
 		d.answers["/v1/requests/"+id] = lotStatus{ID: id, Outcome: "answered", Tokens: req.MaxTokens, Text: text}
 		ctx.Response.Header.Set(entry.HeaderRequestID, id)
 		ctx.Response.Header.Set(fasthttp.HeaderLocation, "/v1/requests/"+id)
--- a/internal/standin/load/plan.go
+++ b/internal/standin/load/plan.go
@@ -93,9 +93,9 @@
 	}
 	if c.Kind == Chat {
 		r.path = completion.ChatPath
-		body.Messages = []completion.Message{{Role: "user", Content: text}}
+		body.Messages = []completion.Message{{Role: "user", Content: completion.Text(text)}}
 	} else {
-		body.Prompt = text
+		body.Prompt = completion.Text(text)
 	}
 	r.prompt = body.Text()
 	data, err := json.Marshal(&body)
