--- a/cmd/lagoonctl/main.go
+++ b/cmd/lagoonctl/main.go
@@ -36,9 +36,16 @@
 	status := app.Command("status", "Print a daemon, and all daemons with the manifest in force and its lag, and the upstreams, as it knows them.")
 	histograms := app.Command("histograms", "Print counters and latencies for each customer, class and upstream since the daemon started.")
 	explain := app.Command("explain", "Print each step, attempt, upstream and wait of a recent request.")
-	explainID := explain.Arg("id", "The answer's Lagoonmux-Request-Id.").Required().String()
+	explainID := explain.Arg("id", "The answer's Lagoonmux-Request-Id, or on the users' platform the id of the caller's attempt.").Required().String()
+	explainLogs := explain.Flag("log", "File with logs of daemons to read instead of asking them, - for standard input; may be repeated.").Strings()
 
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if command == explain.FullCommand() && len(*explainLogs) > 0 {
+		if err := ctl.Story(os.Stdout, *explainID, *explainLogs); err != nil {
+			exit(err)
+		}
+		return
+	}
 	clients, err := connect(*addresses, &tls)
 	if err != nil {
 		exit(err)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -37,7 +37,6 @@
 	Kind        Kind
 	Resumable   bool // a stream may go on at another upstream
 	Open        bool // needs no customer key
-	Sticky      bool // requests carry prompts
 	Timeout     time.Duration
 	Target      time.Duration // to the answer or first event for full credit
 	GapTarget   time.Duration // between events
@@ -79,8 +78,7 @@
 
 // Scaling tells how many upstreams of a service may be ordered.
 type Scaling struct {
-	Min, Max     int // per availability zone, of both kinds together
-	Boot         time.Duration
+	Min, Max     int                // per availability zone, of both kinds together
 	ReclaimPrice float64            // of a reclaimable upstream, as part of the full price; 0 where there are none
 	ZonePrices   map[string]float64 // per second
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -43,6 +43,8 @@
 		return "caller_left"
 	case r.Cut:
 		return "cut"
+	case r.Status >= 200 && r.Status < 300 && r.Late:
+		return "answered_late"
 	case r.Status >= 200 && r.Status < 300:
 		return "answered"
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,7 +156,6 @@
 	n.fleet = newFleet(n)
 	n.proxy = proxy.New(proxy.Config{
 		Codec:    p.Codec,
-		Log:      log.Named("proxy"),
 		Placer:   n.placer,
 		Quota:    n.quota,
 		Pool:     n.pool,
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,7 +14,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/catalog"
@@ -91,7 +90,6 @@
 // Config is what a Proxy works with.
 type Config struct {
 	Codec    Codec
-	Log      hclog.Logger
 	Placer   *place.Placer
 	Quota    *quota.Keeper
 	Pool     *egress.Pool
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -27,6 +27,7 @@
 	Sends      int
 	Gap        time.Duration // longest between events
 	MayHaveRun bool
+	Late       bool // answered, but not within the targets of its route
 	Gone       bool // the caller had left
 	Cut        bool // the answer was not passed on to its end
 
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -179,9 +179,19 @@
 	t.record.Gone = t.x.Gone()
 	t.record.Cut = !t.x.Whole()
 	t.record.Sends = t.sends
+	t.record.Late = t.overTarget()
 	t.Observer.Ended(&t.record)
 }
 
+// overTarget tells whether an answer missed the targets of its route.
+func (t *task) overTarget() bool {
+	if t.route == nil || t.record.First.IsZero() {
+		return false
+	}
+	first := t.record.First.Sub(t.record.Arrived)
+	return t.route.Target > 0 && first > t.route.Target || t.route.GapTarget > 0 && t.record.Gap > t.route.GapTarget
+}
+
 // query describes the request to the placer.
 func (t *task) query() place.Query {
 	q := place.Query{Service: t.service.Name, Exclude: t.exclude}
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -174,7 +174,10 @@
 	v.mu.Lock()
 	var until time.Duration
 	back := v.upSince == 0
-	outage := now - v.readAt
+	outage := time.Duration(0)
+	if v.readAt > 0 {
+		outage = now - v.readAt
+	}
 	if back {
 		if v.HoldFor > 0 && v.readAt > 0 && outage > outageAfter && !v.OthersRead() {
 			until = now + v.HoldFor
