--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/catalog"
+	"github.com/lagoonmux/lagoonmux/internal/proxy"
+)
+
+// TestDrainCutsNothingBeforeTheLastSixth checks the times of a drain for the
+// graces that deployments name.
+func TestDrainCutsNothingBeforeTheLastSixth(t *testing.T) {
+	began := time.Now()
+	for _, grace := range []time.Duration{2 * time.Second, 6 * time.Second, 8 * time.Second, 30 * time.Second} {
+		d := drain(began, grace)
+		assert.Assert(t, d.End.Sub(began) > grace*5/6, "%v", grace)
+		assert.Assert(t, d.End.Sub(began) < grace*9/10, "%v: time for the farewell", grace)
+		assert.Assert(t, d.LateFrom.Sub(began) <= max(3*time.Second, grace*3/8), "%v", grace)
+	}
+}
+
+func TestMetrics(t *testing.T) {
+	m := newMetrics()
+	now := time.Now()
+	record := func(status int, first time.Duration, late bool) *proxy.Record {
+		r := &proxy.Record{Customer: "c", Kind: catalog.Stream, Arrived: now, Status: status, Late: late, Sends: 2}
+		if first > 0 {
+			r.First = now.Add(first)
+		}
+		return r
+	}
+	m.add(record(200, 40*time.Millisecond, false))
+	m.add(record(200, 900*time.Millisecond, true))
+	m.add(record(429, 0, false))
+	cut := record(200, 10*time.Millisecond, false)
+	cut.Cut = true
+	m.add(cut)
+	var out strings.Builder
+	m.write(&out)
+	for _, want := range []string{
+		`lagoonmux_requests_total{customer="c",kind="stream",cause="answered"} 1`,
+		`cause="answered_late"} 1`, `cause="status_429"} 1`, `cause="cut"} 1`,
+		`lagoonmux_first_ms{customer="c",kind="stream",quantile="0.5"}`, "lagoonmux_repeated_total 4",
+	} {
+		assert.Assert(t, strings.Contains(out.String(), want), "%s lacks %s", out.String(), want)
+	}
+}
