--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -43,7 +43,7 @@
 }
 
 func TestCheapZonesFirst(t *testing.T) {
-	plan := NewPlanner().Plan(demand(1600), time.Hour) // 4 on demand
+	plan := NewPlanner().Plan(demand(3.9*busyFirm*1000), time.Hour) // 4 on demand
 	assert.Equal(t, plan[Place{"s", "a", Firm}], 2)
 	assert.Equal(t, plan[Place{"s", "b", Firm}], 1)
 	assert.Equal(t, plan[Place{"s", "c", Firm}], 1)
