--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -184,7 +184,7 @@
 		return lost, errors.Errorf("answer %d without an id", status)
 	case success && !v.Sealed:
 		return lost, errors.Errorf("answer %d without a seal", status)
-	case status >= 500 && a.again500(status):
+	case status >= 500 && a.worthRepeating(status):
 		return lost, errors.Errorf("upstream failed with %d", status)
 	case a.out.begun && !success:
 		return broken, errors.Errorf("resumed answer is %d", status)
@@ -195,8 +195,8 @@
 	return a.whole()
 }
 
-// again500 tells whether a failure of the upstream's own is worth another try.
-func (a *attempt) again500(status int) bool {
+// worthRepeating tells whether a failure of the upstream's own is worth another try.
+func (a *attempt) worthRepeating(status int) bool {
 	return status != fasthttp.StatusGatewayTimeout && a.route.MayRepeat() && a.sends < a.route.MaxAttempts &&
 		a.Budget.Left(a.service.Name, boottime.Now())
 }
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -24,9 +24,15 @@
 	// noneRetry is what it is told while no upstream is known: one that is ordered
 	// takes seconds.
 	noneRetry = 500 * time.Millisecond
-	// firstDefer is the least rank of urgency; priorities count up from it.
+	// topUrgency is that of priority 0; others count up from it to bottomUrgency.
+	// Ranks 0 and 1 are left for what must not wait at all.
 	topUrgency    = 2
 	bottomUrgency = 9
+	// connPart of the connections that an upstream accepts are shared out; the rest
+	// is for daemons that have just come.
+	connPart = 0.9
+	// defaultConns is the limit where a service names none.
+	defaultConns = 64
 	// minLeft is the time below which nothing is sent: no answer could come.
 	minLeft = 5 * time.Millisecond
 )
@@ -292,16 +298,15 @@
 	t.refuse(r)
 }
 
-// most returns how many connections this daemon may open to an upstream.
-func (t *task) most() int {
-	const margin = 0.9 // for daemons that have just come
+// connLimit returns how many connections this daemon may open to an upstream.
+func (t *task) connLimit() int {
 	if t.service.MaxConns <= 0 {
-		return 64
+		return defaultConns
 	}
-	return max(int(margin*float64(t.service.MaxConns))/max(t.Daemons(), 1), 1)
+	return max(int(connPart*float64(t.service.MaxConns))/max(t.Daemons(), 1), 1)
 }
 
 // get returns a connection to the chosen upstream.
 func (t *task) get(ctx context.Context, c place.Choice) (*egress.Conn, error) {
-	return t.Pool.Get(ctx, c.Upstream.Address, t.most())
+	return t.Pool.Get(ctx, c.Upstream.Address, t.connLimit())
 }
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -115,16 +115,18 @@
 func (v *View) read(ctx context.Context) error {
 	v.mu.Lock()
 	after := v.after
+	away := v.upSince == 0
+	holding := !away && len(v.held) > 0
 	wait := v.Wait
-	if v.upSince == 0 || len(v.held) > 0 {
-		wait = 0 // to know at once whether the store is back
+	if away || holding {
+		wait = 0 // to know at once what the store holds
 	}
 	v.mu.Unlock()
 	if after == 0 {
 		return v.list(ctx)
 	}
-	if wait == 0 && !v.away() {
-		pause(ctx, retryMin) // rows are held: look again soon
+	if holding {
+		pause(ctx, retryMin) // until they are back or given up
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
@@ -151,12 +153,6 @@
 	return nil
 }
 
-func (v *View) away() bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.upSince == 0
-}
-
 // lost notes that the store did not answer.
 func (v *View) lost(err error) {
 	v.mu.Lock()
