Read again: an upstream's load is summed once a choice, code that nothing calls is gone

Placer.Usable and Free had no caller, Node.StoreUp stood beside storeUp, the load of an upstream was summed twice in each choice, renew had an argument that it ignored, and a wait that begins at the first request was tested for in two ways. Behaviour stays as it is; tests are unchanged.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -205,7 +205,7 @@
 		d.settleWindows()
 	}
 	if now >= d.renewAt || d.dirty {
-		d.renew(ctx, now)
+		d.renew(ctx)
 	}
 	if d.holding() && !d.dirty {
 		d.report(ctx)
@@ -294,7 +294,7 @@
 
 // renew writes the row again. After an error it reads first: the write may
 // have been done.
-func (d *Duty) renew(ctx context.Context, now time.Duration) {
+func (d *Duty) renew(ctx context.Context) {
 	next := d.row
 	next.Pending = d.unsent()
 	err := d.write(ctx, next)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -199,12 +199,13 @@
 		Log:     n.log.Named("mesh"),
 		Fill:    n.tell,
 		Heard:   n.heard,
-		StoreUp: n.storeUp,
+		StoreUp: n.StoreUp,
 	})
 }
 
-// storeUp returns for how long the store has answered.
-func (n *Node) storeUp() time.Duration {
+// StoreUp returns for how long the store has answered, 0 while it does not. Any
+// goroutine may call it.
+func (n *Node) StoreUp() time.Duration {
 	if n.entries.ReadAge() > freshFor {
 		return 0 // also after a pause of the process
 	}
@@ -382,8 +383,5 @@
 	return sum
 }
 
-// StoreUp returns for how long the store has answered, 0 while it does not.
-func (n *Node) StoreUp() time.Duration { return n.storeUp() }
-
 // Booted is closed once the caller port is open.
 func (n *Node) Booted() <-chan struct{} { return n.server.Booted() }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -84,5 +84,5 @@
 	_, _ = fmt.Fprintf(c, "lagoonmux_ready %t\nlagoonmux_config_version %d\nlagoonmux_daemons %d\nlagoonmux_daemons_in_touch %d\n",
 		n.Ready(), version, all, touched)
 	_, _ = fmt.Fprintf(c, "lagoonmux_store_up_ms %d\nlagoonmux_upstream_connections %d\nlagoonmux_upstream_dials_total %d\nlagoonmux_callers %d\n",
-		n.storeUp().Milliseconds(), open, dials, n.server.Connections())
+		n.StoreUp().Milliseconds(), open, dials, n.server.Connections())
 }
--- a/internal/routing/place/place.go
+++ b/internal/routing/place/place.go
@@ -174,8 +174,9 @@
 		}
 		best.Usable++
 		missing := s.missing(q, now)
-		expected := s.expected(missing, q, p.works[q.Service], now)
-		cost := (expected + s.penalty(now, p.zone) + rereadCost*float64(shared(q, missing))) * (1 + noise*rand.Float64())
+		load := s.total(now)
+		expected := s.expected(load, missing, q, p.works[q.Service])
+		cost := (expected + s.penalty(load, now, p.zone) + rereadCost*float64(shared(q, missing))) * (1 + noise*rand.Float64())
 		if cost < bestCost {
 			bestCost, bestExpected = cost, expected
 			best.Upstream, best.Missing = u, missing
@@ -186,7 +187,7 @@
 	}
 	best.Expected = time.Duration(bestExpected * float64(time.Millisecond))
 	s := p.states[best.Upstream.Key()]
-	if s.own.Running == 0 || s.waitSince == 0 {
+	if s.own.Running == 0 {
 		s.waitSince = now
 	}
 	s.own.Running++
@@ -227,8 +228,7 @@
 
 // expected returns the milliseconds until the first event or the answer.
 // usual is the time of a plain request of the service.
-func (s *state) expected(missing int, q Query, usual float64, now time.Duration) float64 {
-	l := s.total(now)
+func (s *state) expected(l Load, missing int, q Query, usual float64) float64 {
 	if len(q.Prompt) == 0 && q.Tokens == 0 {
 		queued := math.Max(float64(l.Running+1)/float64(max(s.up.Slots, 1)), 1)
 		return cmp.Or(s.work, usual, plainWork) * queued
@@ -237,12 +237,12 @@
 }
 
 // penalty returns the milliseconds added for what speaks against an upstream.
-func (s *state) penalty(now time.Duration, zone string) float64 {
+func (s *state) penalty(l Load, now time.Duration, zone string) float64 {
 	sum := 0.0
 	if s.up.Zone != zone {
 		sum += otherZoneCost
 	}
-	if l := s.total(now); float64(l.Running) >= fullPart*float64(s.up.Slots) {
+	if float64(l.Running) >= fullPart*float64(s.up.Slots) {
 		sum += fullCost
 	}
 	if now < s.fullUntil {
@@ -272,24 +272,3 @@
 	s := p.states[k]
 	return s == nil || s.silent(now)
 }
-
-// Usable returns how many upstreams of a service take requests.
-func (p *Placer) Usable(service string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.ros.Usable(service))
-}
-
-// Free returns how many requests the upstreams of a service could take beside
-// those that are known to run there.
-func (p *Placer) Free(service string, now time.Duration) (free, slots int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, u := range p.ros.Usable(service) {
-		if s := p.states[u.Key()]; s != nil {
-			free += max(u.Slots-s.total(now).Running, 0)
-			slots += u.Slots
-		}
-	}
-	return free, slots
-}
