--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -51,6 +51,9 @@
 	patience = 6500 * time.Millisecond
 	// maxPending bounds the reports that wait to be sent.
 	maxPending = 24
+	// maxOpen bounds the daemons whose open counts the row holds, at some 200 bytes
+	// each: of a larger fleet so many end at once that nobody knows them any more.
+	maxOpen = 128
 	// callGap is the least time between two tries of the same call.
 	callGap = 400 * time.Millisecond
 	// refusedGap is the same after an order was refused since there are none.
@@ -106,6 +109,8 @@
 	EpochMS  int64    `json:"epoch_ms"` // unix time minus the store's clock
 	Reported int64    `json:"reported"` // newest window of which the counts are settled
 	Pending  []Report `json:"pending"`  // settled, and not known to have been taken
+	// Open is what daemons had counted in windows that are not settled.
+	Open []usage.Tally `json:"open,omitempty"`
 }
 
 // Config is what a Duty works with. The functions are called from its task.
@@ -265,9 +270,30 @@
 	if row.EpochMS != 0 {
 		d.Clock.Agree(time.Duration(row.EpochMS) * time.Millisecond)
 	}
+	for _, t := range row.Open {
+		if t.Name != d.Name || t.Born != d.Born {
+			d.Usage.Learn(t.Name, t.Born, t.Windows)
+		}
+	}
 	return nil
 }
 
+// open returns the counts of windows that are not settled: all daemons may end
+// before they are.
+func (d *Duty) open() []usage.Tally {
+	if !d.Reports {
+		return nil
+	}
+	list := d.Usage.Since(d.row.Reported)
+	if len(list) > maxOpen {
+		return nil
+	}
+	if len(list) > 0 && list[0].Name == "" {
+		list[0].Name, list[0].Born = d.Name, d.Born
+	}
+	return list
+}
+
 // write replaces the row and counts the lease from before the call.
 func (d *Duty) write(ctx context.Context, next lease) error {
 	store, ok := d.Clock.Store()
@@ -296,7 +322,7 @@
 // have been done.
 func (d *Duty) renew(ctx context.Context) {
 	next := d.row
-	next.Pending = d.unsent()
+	next.Pending, next.Open = d.unsent(), d.open()
 	err := d.write(ctx, next)
 	if err == nil {
 		d.dirty = false
@@ -342,7 +368,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	next := d.row
-	next.Pending = d.unsent()
+	next.Pending, next.Open = d.unsent(), d.open()
 	next.UntilMS = 0
 	value, err := json.Marshal(next)
 	if err == nil {
@@ -353,7 +379,9 @@
 	d.setToken(0)
 }
 
-// fence returns how a call names its holder, if the lease still covers it.
+// fence returns how a call names its holder, if the lease still covers it and no
+// renewal is due, which a slow call would hold up.
 func (d *Duty) fence() (Fence, bool) {
-	return Fence{d.Name, d.row.Token}, d.holding() && boottime.Now() < d.heldBy
+	now := boottime.Now()
+	return Fence{d.Name, d.row.Token}, d.holding() && now < d.heldBy && now < d.renewAt
 }
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -60,10 +60,14 @@
 	down    bool
 	none    bool
 	calls   int
+	took    func() // called in each call
 }
 
 func (c *fakeCloud) fence(f Fence) error {
 	c.calls++
+	if c.took != nil {
+		c.took()
+	}
 	if c.down {
 		return errLost
 	}
@@ -264,3 +268,72 @@
 	w.step(a)
 	assert.Equal(t, len(w.cloud.orders), 2, "fewer came than were ordered")
 }
+
+// TestCountsOutliveAllDaemons kills every daemon before a window is settled: the
+// next holder reports what the row holds, and what began after.
+func TestCountsOutliveAllDaemons(t *testing.T) {
+	w := newWorld(t)
+	a := w.duty("a")
+	w.step(a)
+	window := a.Usage.Number(a.Clock.Now())
+	a.Usage.Began("x", a.Clock.Now())
+	a.Usage.Learn("c", 4, []usage.Window{{Number: window, Counts: map[string]int64{"x": 2, "y": 1}}})
+	a.renewAt = 0
+	w.step(a)
+	w.ahead += lease3s + 10*time.Millisecond
+	b := w.duty("b") // knows nothing of before
+	w.step(b)
+	assert.Equal(t, b.Token(), int64(2))
+	b.Usage.Learn("c", 4, []usage.Window{{Number: window, Counts: map[string]int64{"x": 1}}}) // told late
+	b.Usage.Learn("c", 5, []usage.Window{{Number: window, Counts: map[string]int64{"x": 1}}}) // started again
+	w.windows(2)
+	for range 3 {
+		w.step(b)
+	}
+	assert.DeepEqual(t, w.cloud.usage[window], map[string]int64{"x": 4, "y": 1})
+}
+
+// TestRowHoldsOnlyWhatIsNotSettled keeps the row small.
+func TestRowHoldsOnlyWhatIsNotSettled(t *testing.T) {
+	w := newWorld(t)
+	a := w.duty("a")
+	w.step(a)
+	a.Usage.Began("x", a.Clock.Now())
+	a.renewAt = 0
+	w.step(a)
+	assert.Equal(t, len(a.row.Open), 1)
+	w.windows(2)
+	w.step(a)
+	w.step(a)
+	a.renewAt = 0
+	w.step(a)
+	assert.Equal(t, len(a.row.Open), 0)
+}
+
+// TestSlowCloudDoesNotDelayRenewals lets each call take so long that a renewal
+// is due after it: it comes first, and reports do not keep orders waiting.
+func TestSlowCloudDoesNotDelayRenewals(t *testing.T) {
+	w := newWorld(t)
+	a := w.duty("a")
+	place := capacity.Place{Service: "s", Zone: "z", Kind: capacity.Firm}
+	w.step(a)
+	w.windows(3)
+	w.ahead += settle
+	w.step(a)
+	a.dirty = true
+	a.sent, a.tried = make(map[int64]bool), make(map[int64]time.Duration)
+	assert.Assert(t, len(a.row.Pending) > 1)
+	w.cloud.down = true
+	w.cloud.took = func() { a.renewAt = 0 }
+	a.Plan = func() map[capacity.Place]int { return map[capacity.Place]int{place: 2} }
+	tried := 0
+	a.Have = func() map[capacity.Place]int { tried++; return nil }
+	for range 4 {
+		due := a.renewAt == 0 || a.dirty
+		calls, writes := w.cloud.calls, w.store.writes
+		w.step(a)
+		assert.Assert(t, w.cloud.calls <= calls+1, "%d calls", w.cloud.calls-calls)
+		assert.Assert(t, !due || w.store.writes == writes+1, "not renewed")
+	}
+	assert.Assert(t, tried > 0, "orders had no turn")
+}
--- a/internal/duty/work.go
+++ b/internal/duty/work.go
@@ -37,8 +37,8 @@
 		if !ok {
 			return
 		}
-		d.tried[r.Window] = now + callGap
 		err := d.call(ctx, func(ctx context.Context) error { return d.Cloud.Report(ctx, f, r) })
+		d.tried[r.Window] = boottime.Now() + callGap
 		d.Log.Info("usage reported", "window", r.Window, "token", f.Token, "counts", r.Counts, "error", err)
 		switch {
 		case err == nil:
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -3,7 +3,9 @@
 package usage
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -14,8 +16,15 @@
 
 // Window is the count of one daemon for one window.
 type Window struct {
-	Number int64
-	Counts map[string]int64 // by customer
+	Number int64            `json:"window"`
+	Counts map[string]int64 `json:"counts"` // by customer
+}
+
+// Tally is what one incarnation of a daemon has counted.
+type Tally struct {
+	Name    string   `json:"name"`
+	Born    int64    `json:"born"`
+	Windows []Window `json:"windows"`
 }
 
 // Counter counts for one daemon and remembers what the others told. Its methods
@@ -81,6 +90,32 @@
 	return list
 }
 
+// Since returns the counts of all daemons, as far as known, in the windows after
+// a number. This daemon's come first and bear no name.
+func (c *Counter) Since(number int64) []Tally {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := []Tally{{Windows: after(c.own, number)}}
+	for s, windows := range c.peers {
+		list = append(list, Tally{s.name, s.born, after(windows, number)})
+	}
+	list = slices.DeleteFunc(list, func(t Tally) bool { return len(t.Windows) == 0 })
+	slices.SortFunc(list, func(a, b Tally) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Born, b.Born)) })
+	return list
+}
+
+// after returns copies of the windows after a number, in order.
+func after(windows map[int64]map[string]int64, number int64) []Window {
+	var list []Window
+	for n, counts := range windows {
+		if n > number {
+			list = append(list, Window{n, maps.Clone(counts)})
+		}
+	}
+	slices.SortFunc(list, func(a, b Window) int { return cmp.Compare(a.Number, b.Number) })
+	return list
+}
+
 // Learn takes in the windows of another daemon. Counts only rise.
 func (c *Counter) Learn(name string, born int64, list []Window) {
 	c.mu.Lock()
@@ -88,6 +123,7 @@
 	s := source{name, born}
 	known := c.peers[s]
 	if known == nil {
+		c.forget(list)
 		known = make(map[int64]map[string]int64)
 		c.peers[s] = known
 	}
@@ -104,6 +140,21 @@
 	}
 }
 
+// forget drops daemons that counted nothing in the windows that are kept, by the
+// newest of list. The caller holds mu.
+func (c *Counter) forget(list []Window) {
+	newest := int64(0)
+	for _, w := range list {
+		newest = max(newest, w.Number)
+	}
+	for s, windows := range c.peers {
+		prune(windows, newest)
+		if len(windows) == 0 {
+			delete(c.peers, s)
+		}
+	}
+}
+
 // Sum returns the counts of a window over all daemons, as far as known.
 func (c *Counter) Sum(number int64) map[string]int64 {
 	c.mu.Lock()
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -34,3 +34,31 @@
 	}
 	assert.Assert(t, len(c.own) <= keepWindows)
 }
+
+func TestSinceTellsEverySource(t *testing.T) {
+	now := 100 * time.Second
+	c := New(5 * time.Second)
+	n := c.Number(now)
+	c.Began("x", now)
+	c.Began("x", now-5*time.Second)
+	c.Learn("b", 7, []Window{{n, map[string]int64{"y": 3}}, {n - 1, map[string]int64{"y": 2}}})
+	c.Learn("d", 8, []Window{{n - 1, map[string]int64{"y": 2}}})
+	assert.DeepEqual(t, c.Since(n-1), []Tally{
+		{Windows: []Window{{n, map[string]int64{"x": 1}}}},
+		{Name: "b", Born: 7, Windows: []Window{{n, map[string]int64{"y": 3}}}},
+	})
+	other := New(5 * time.Second)
+	for _, t := range c.Since(0) {
+		other.Learn(t.Name, t.Born, t.Windows)
+	}
+	assert.DeepEqual(t, other.Sum(n-1), c.Sum(n-1))
+}
+
+// TestDaemonsThatEndedAreForgotten replays months of restarts.
+func TestDaemonsThatEndedAreForgotten(t *testing.T) {
+	c := New(time.Second)
+	for born := range int64(1000) {
+		c.Learn("a", born, []Window{{born, map[string]int64{"x": 1}}})
+	}
+	assert.Assert(t, len(c.peers) <= keepWindows+1, "%d", len(c.peers))
+}
