Quota: small requests of a customer over its limit do not wait behind large ones

Load pattern: a customer asks for 7 times its limit of tokens, nearly all of it in prompts of thousands; its orders and look-ups, 200 tokens each, were refused as often.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -34,6 +34,20 @@
 	// know of it: callers that come back together after an outage are not spread
 	// evenly, and a bucket that was drawn below zero pays that back.
 	overcommit = 1.6
+	// smallPart of the mean cost of a customer's requests is what counts as small:
+	// a plain request costs a twentieth of the mean beside prompts. All of them
+	// together are at most this part of what is asked for.
+	smallPart = 0.1
+	// smallAhead is how many times its share a daemon may take for small requests:
+	// under excess they need not wait behind large ones, of which one costs as much
+	// as dozens of them.
+	smallAhead = 4
+	// smallReserve is the part of a burst that is left for small requests: a large
+	// one may draw a bucket far below zero, from which it comes back in some tens of
+	// milliseconds.
+	smallReserve = 0.02
+	// meanWeight is how much one request moves the mean cost.
+	meanWeight = 0.02
 	// minRetry and maxRetry bound what a refused caller is told to wait.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 5 * time.Second
@@ -85,6 +99,7 @@
 	spent  float64       // by this daemon
 	recent []recent
 	demand float64 // a second, decayed
+	mean   float64 // cost of a request that was asked for
 	asked  time.Duration
 	others map[string]float64 // demand by daemon
 }
@@ -194,11 +209,10 @@
 	b.note(cost, now)
 	mine := b.forget(now, k.unseen)
 	d := Decision{Level: b.level, Mine: mine, Share: k.share(b), Part: k.part()}
-	usable := (b.level + mine) * d.Part
 	// What is taken too much by the last request is paid back from the refill, so
-	// that large requests are admitted as often as small ones.
-	mayTake := math.Min(overcommit*d.Share, 1) * usable
-	if usable <= 0 || mine >= mayTake {
+	// that the largest requests are admitted as often as usual ones.
+	mayTake := b.mayTake(cost, (b.level+mine)*d.Part, d.Share)
+	if mine >= mayTake {
 		d.Wait = b.wait(mine-mayTake, d.Share*d.Part)
 		return d
 	}
@@ -209,10 +223,26 @@
 	return d
 }
 
+// mayTake returns up to which sum this daemon may take from the bucket before
+// others know of it; usable is what the bucket would hold for all without that.
+func (b *bucket) mayTake(cost, usable, share float64) float64 {
+	part := overcommit * share
+	if cost <= smallPart*b.mean {
+		part *= smallAhead
+	} else {
+		usable -= smallReserve * b.limit.Burst
+	}
+	return math.Max(math.Min(part, 1)*usable, 0)
+}
+
 // note counts a request among those asked for.
 func (b *bucket) note(cost float64, now time.Duration) {
 	b.decay(now)
 	b.demand += cost / demandDecay.Seconds()
+	if b.mean == 0 {
+		b.mean = cost
+	}
+	b.mean += meanWeight * (cost - b.mean)
 }
 
 func (b *bucket) decay(now time.Duration) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -253,25 +253,48 @@
 // checks the platform's tolerance in every window. Seeds are printed.
 func TestDrawnFaults(t *testing.T) {
 	for seed := range uint64(60) {
-		limit := Limit{Rate: 300000, Burst: 300000}
-		f := newFleet(6, limit, seed)
-		f.play(10*time.Second, even(6, 1), 1)
-		for range 12 {
-			i := f.rnd.IntN(6)
-			switch f.rnd.IntN(3) {
-			case 0:
-				f.cut[i] = !f.cut[i]
-			case 1:
-				f.restart(i)
-			}
-			f.touch()
-			if f.rnd.IntN(4) == 0 {
-				f.frozen[i] = !f.frozen[i]
-			}
+		f := newFleet(6, Limit{Rate: 300000, Burst: 300000}, seed)
+		f.drawFaults(t, seed, func() {
 			f.play(time.Duration(1+f.rnd.IntN(30))*100*time.Millisecond, even(6, f.rnd.Float64()*2e6), 4000+f.rnd.Float64()*9000)
+		})
+	}
+}
+
+// TestDrawnFaultsWithSmallRequests is the same with a tenth of the demand in small
+// requests, which is the most that counts as small.
+func TestDrawnFaultsWithSmallRequests(t *testing.T) {
+	const slice = 10 * time.Millisecond
+	for seed := range uint64(60) {
+		f := newFleet(6, Limit{Rate: 300000, Burst: 300000}, seed)
+		f.drawFaults(t, seed, func() {
+			demand, cost := f.rnd.Float64()*4e6, 4000+f.rnd.Float64()*9000
+			for range 1 + f.rnd.IntN(150) {
+				f.play(slice, even(6, demand), cost)
+				f.play(slice, even(6, demand/10), cost/50)
+			}
+		})
+	}
+}
+
+// drawFaults lets daemons be cut off, restarted and frozen while play asks them,
+// and checks that no window exceeds what the platform tolerates.
+func (f *fleet) drawFaults(t *testing.T, seed uint64, play func()) {
+	f.play(10*time.Second, even(6, 1), 1)
+	for range 12 {
+		i := f.rnd.IntN(6)
+		switch f.rnd.IntN(3) {
+		case 0:
+			f.cut[i] = !f.cut[i]
+		case 1:
+			f.restart(i)
+		}
+		f.touch()
+		if f.rnd.IntN(4) == 0 {
+			f.frozen[i] = !f.frozen[i]
 		}
-		assert.Assert(t, f.most(8*time.Second) <= bound(limit), "seed %d: %v", seed, f.most(8*time.Second))
+		play()
 	}
+	assert.Assert(t, f.most(8*time.Second) <= bound(f.limit), "seed %d: %v", seed, f.most(8*time.Second))
 }
 
 // TestPauseOfTheProcessTakesLittle wakes a daemon that stood still while the
@@ -311,3 +334,22 @@
 	assert.Assert(t, k.Take(customer, 40, now).OK)
 	assert.Equal(t, k.Local(now)[0].Spent, 40.0)
 }
+
+// TestSmallRequestsPassBesideLargeOnes replays a customer that asks for four times
+// its limit, nearly all of it in large requests: its small ones, a hundredth of
+// the cost, need not wait behind them, and the large ones still get the limit.
+func TestSmallRequestsPassBesideLargeOnes(t *testing.T) {
+	limit := Limit{Rate: 480000, Burst: 480000}
+	f := newFleet(6, limit, 5)
+	f.play(2*time.Second, even(6, 480000/1.8), 9000)
+	var asked, admitted, large float64
+	const slice = 10 * time.Millisecond
+	for range int(10 * time.Second / (2 * slice)) { // in turn, so half of the time each
+		_, l := f.play(slice, even(6, 2*2e6), 9000)
+		a, s := f.play(slice, even(6, 2*2e4), 200)
+		asked, admitted, large = asked+a, admitted+s, large+l
+	}
+	assert.Assert(t, admitted >= 0.95*asked, "small: %v of %v", admitted, asked)
+	assert.Assert(t, large >= 0.9*10*limit.Rate, "large: %v", large)
+	assert.Assert(t, f.most(8*time.Second) <= bound(limit), "%v", f.most(8*time.Second))
+}
