Upstreams: whole requests go over the connections of egress, one pool instead of two

Ruled out: moving dispatch onto egress directly; load tool, checks and benches would each have needed the same reader of bodies. Tests: dispatch, daemon, serve, load, bench pass unchanged.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -45,8 +45,12 @@
 	chunks  framing.Chunks
 	whole   bool // the answer was read to its end
 	noReuse bool
+	reused  bool // an exchange went over it before
 }
 
+// Reused tells whether the connection had been used before.
+func (c *Conn) Reused() bool { return c.reused }
+
 // Start sends a request. When ctx ends, the connection is closed, by which the
 // upstream learns that its answer is no longer wanted.
 func (c *Conn) Start(ctx context.Context, head, body []byte) error {
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -52,8 +52,14 @@
 // is idle and fewer than most are open.
 func (p *Pool) Get(ctx context.Context, address string, most int) (*Conn, error) {
 	if c := p.takeIdle(address); c != nil {
+		c.reused = true
 		return c, nil
 	}
+	return p.Dial(ctx, address, most)
+}
+
+// Dial returns a new connection where fewer than most are open.
+func (p *Pool) Dial(ctx context.Context, address string, most int) (*Conn, error) {
 	if !p.reserve(address, most) {
 		return nil, errors.Wrapf(ErrBusy, "dial %s", address)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,5 +1,5 @@
-// Package upstream carries single HTTP/1.1 exchanges to upstreams over a pool
-// of idle connections.
+// Package upstream carries whole requests to upstreams and streams their answers,
+// over the connections of package egress.
 //
 // Every error tells whether a byte of the request can have reached the
 // upstream, on which the outcome of a call depends.
@@ -7,23 +7,30 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
-	"net"
-	"strings"
-	"sync"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/lagoonmux/lagoonmux/internal/egress"
 )
 
 const (
-	dialTimeout     = time.Second
-	idleLimit       = 10 * time.Second // an older idle connection may have gone silent
-	maxIdlePerPeer  = 256
-	readBufferBytes = 4096
-	maxDrainBytes   = 4096 // that are read to keep a connection
+	// maxOpen bounds the connections to one address, far above the slots of an
+	// upstream.
+	maxOpen = 4096
+	// maxDrainBytes are read of what is left of an answer, to keep its connection.
+	maxDrainBytes = 4096
+	// noBound is the patience with an answer whose end only the context bounds.
+	noBound = 24 * time.Hour
+	// sweepEvery is the time between two looks for connections that were idle for
+	// too long.
+	sweepEvery = time.Second
 )
 
 // Error is a failed exchange.
@@ -45,32 +52,33 @@
 // Pool keeps idle connections for each address. Its methods may be called from
 // any goroutine.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[string][]*conn
-}
-
-type conn struct {
-	net.Conn
-	r      *bufio.Reader
-	w      *bufio.Writer
-	since  time.Time // idle since
-	reused bool
-	readBy time.Time // read deadline in force; zero for none
+	conns *egress.Pool
+	swept atomic.Int64 // unix nanoseconds
 }
 
 // NewPool returns a pool without connections.
-func NewPool() *Pool {
-	return &Pool{idle: make(map[string][]*conn)}
+func NewPool() *Pool { return &Pool{conns: egress.NewPool()} }
+
+// Close closes all idle connections.
+func (p *Pool) Close() { p.conns.Close() }
+
+// sweep closes connections that were idle for too long, from time to time.
+func (p *Pool) sweep(now time.Time) {
+	last := p.swept.Load()
+	if now.UnixNano()-last > int64(sweepEvery) && p.swept.CompareAndSwap(last, now.UnixNano()) {
+		p.conns.Sweep()
+	}
 }
 
 // Exchange is one request in progress. It belongs to one goroutine, but Cancel
 // may be called from any.
 type Exchange struct {
-	Response fasthttp.Response
-	pool     *Pool
-	conn     *conn
+	Response fasthttp.Response // its header; the body is Body
+	conn     *egress.Conn
 	address  string
-	stop     func() bool
+	by       time.Time // by when the next read must have ended; zero for no bound
+	body     body
+	over     atomic.Bool // the connection was given back or closed
 }
 
 // Options change how an exchange is started.
@@ -88,89 +96,127 @@
 // connection is dialled if none is idle. When ctx ends, the connection is
 // closed, which also ends reads of the body. The error is always an *Error.
 func (p *Pool) StartWith(ctx context.Context, address string, req *fasthttp.Request, o Options) (*Exchange, error) {
-	c, err := p.take(ctx, address, o.Fresh)
+	p.sweep(time.Now())
+	wire, err := encode(req)
+	if err != nil {
+		return nil, &Error{Peer: address, Step: "encode", Err: err}
+	}
+	conn, err := p.get(ctx, address, o.Fresh)
 	if err != nil {
 		return nil, &Error{Peer: address, Step: "dial", Err: err}
 	}
 	if err := ctx.Err(); err != nil {
-		c.Close()
+		conn.Close()
 		return nil, &Error{Peer: address, Step: "dial", Err: err}
 	}
-	x := &Exchange{pool: p, conn: c, address: address}
-	x.stop = context.AfterFunc(ctx, func() { c.Close() })
-	x.ExpectBy(o.HeaderBy)
-	if err := x.send(req); err != nil {
-		x.Cancel()
-		return nil, err
+	x := &Exchange{conn: conn, address: address, by: o.HeaderBy}
+	x.body.x = x
+	if err := conn.Start(ctx, wire, nil); err != nil {
+		return nil, x.give("write", err)
+	}
+	if err := conn.Head(&x.Response.Header, x.patience()); err != nil {
+		return nil, x.give("read header", err)
+	}
+	if req.Header.IsHead() {
+		conn.NoBody()
 	}
 	return x, nil
 }
 
-func (x *Exchange) send(req *fasthttp.Request) error {
-	err := req.Write(x.conn.w)
-	if err == nil {
-		err = x.conn.w.Flush()
+func (p *Pool) get(ctx context.Context, address string, fresh bool) (*egress.Conn, error) {
+	if fresh {
+		return p.conns.Dial(ctx, address, maxOpen)
 	}
-	if err != nil {
-		return x.fail("write", err)
+	return p.conns.Get(ctx, address, maxOpen)
+}
+
+// encode returns the wire form of a request.
+func encode(req *fasthttp.Request) ([]byte, error) {
+	var b bytes.Buffer
+	w := bufio.NewWriter(&b)
+	if err := req.Write(w); err != nil {
+		return nil, err
 	}
-	x.Response.StreamBody = true
-	x.Response.SkipBody = req.Header.IsHead()
-	if err := x.Response.ReadLimitBody(x.conn.r, 0); err != nil {
-		return x.fail("read header", err)
+	err := w.Flush()
+	return b.Bytes(), err
+}
+
+// patience is how long the next read may take.
+func (x *Exchange) patience() time.Duration {
+	if x.by.IsZero() {
+		return noBound
 	}
-	return nil
+	return time.Until(x.by)
+}
+
+// give closes the connection and returns why.
+func (x *Exchange) give(step string, err error) error {
+	x.Cancel()
+	return x.fail(step, err)
 }
 
 func (x *Exchange) fail(step string, err error) error {
-	return &Error{Peer: x.address, Step: step, Sent: true, Err: err, Reused: x.conn.reused}
+	if errors.Is(err, egress.ErrPatience) {
+		err = os.ErrDeadlineExceeded
+	}
+	return &Error{Peer: x.address, Step: step, Sent: true, Err: err, Reused: x.conn.Reused()}
 }
 
 // ExpectBy makes reads fail that have not ended at t. The zero time lifts the
 // bound. Only the goroutine that reads may call it.
-func (x *Exchange) ExpectBy(t time.Time) {
-	if t.Equal(x.conn.readBy) {
-		return
-	}
-	x.conn.readBy = t
-	_ = x.conn.SetReadDeadline(t)
-}
+func (x *Exchange) ExpectBy(t time.Time) { x.by = t }
 
 // Reused tells whether the connection had been used before.
-func (x *Exchange) Reused() bool { return x.conn.reused }
+func (x *Exchange) Reused() bool { return x.conn.Reused() }
 
 // Body returns the body of the response as a stream.
-func (x *Exchange) Body() io.Reader {
-	if body := x.Response.BodyStream(); body != nil {
-		return body
+func (x *Exchange) Body() io.Reader { return &x.body }
+
+// body reads the body of an answer as it comes.
+type body struct {
+	x    *Exchange
+	got  []byte // received, not read yet
+	left []byte // the unread part of got
+	end  error
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	if len(b.left) == 0 && b.end == nil {
+		b.got, b.end = b.x.conn.Next(b.got[:0], b.x.patience())
+		b.left = b.got
+		if errors.Is(b.end, egress.ErrPatience) {
+			b.end = os.ErrDeadlineExceeded
+		}
+	}
+	n := copy(p, b.left)
+	b.left = b.left[n:]
+	if n == 0 && len(p) > 0 {
+		return 0, b.end
 	}
-	return strings.NewReader("") // a response that has no body by its status or method
+	return n, nil
 }
 
 // ReadAll reads the rest of the body, at most limit bytes, and frees the
 // connection for the next request.
 func (x *Exchange) ReadAll(limit int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(x.Body(), int64(limit)+1))
-	if err == nil && len(body) > limit {
+	data, err := io.ReadAll(io.LimitReader(x.Body(), int64(limit)+1))
+	if err == nil && len(data) > limit {
 		err = errors.Errorf("body exceeds %d bytes", limit)
 	}
 	if err != nil {
-		x.Cancel()
-		return nil, x.fail("read body", err)
+		return nil, x.give("read body", err)
 	}
 	x.Finish()
-	return body, nil
+	return data, nil
 }
 
-// Finish returns the connection to the pool. The body must have been read.
+// Finish returns the connection to the pool if the body was read to its end, and
+// closes it otherwise.
 func (x *Exchange) Finish() {
-	closing := x.Response.ConnectionClose()
-	if !x.stop() || closing || x.conn.r.Buffered() > 0 {
-		x.conn.Close()
-		return
+	if !x.over.Swap(true) {
+		x.conn.Release()
 	}
-	x.ExpectBy(time.Time{})
-	x.pool.put(x.address, x.conn)
 }
 
 // Drain reads what is left of a body that has ended for its reader, and frees
@@ -178,71 +224,14 @@
 // patience.
 func (x *Exchange) Drain(patience time.Duration) {
 	x.ExpectBy(time.Now().Add(patience))
-	n, err := io.Copy(io.Discard, io.LimitReader(x.Body(), maxDrainBytes))
-	if err != nil || n == maxDrainBytes {
-		x.Cancel()
-		return
-	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(x.Body(), maxDrainBytes)) // Finish closes what did not end
 	x.Finish()
 }
 
 // Cancel closes the connection, by which the upstream learns that the answer
-// is no longer wanted.
+// is no longer wanted. After Finish it does nothing.
 func (x *Exchange) Cancel() {
-	x.stop()
-	x.conn.Close()
-}
-
-func (p *Pool) take(ctx context.Context, address string, fresh bool) (*conn, error) {
-	if !fresh {
-		if c := p.takeIdle(address, time.Now()); c != nil {
-			return c, nil
-		}
-	}
-	d := net.Dialer{Timeout: dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBufferBytes), w: bufio.NewWriter(nc)}, nil
-}
-
-func (p *Pool) takeIdle(address string, now time.Time) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.idle[address] = list
-		if now.Sub(c.since) < idleLimit {
-			c.reused = true
-			return c
-		}
-		c.Close()
-	}
-	return nil
-}
-
-func (p *Pool) put(address string, c *conn) {
-	c.since = time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdlePerPeer {
-		c.Close()
-		return
-	}
-	p.idle[address] = append(p.idle[address], c)
-}
-
-// Close closes all idle connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for address, list := range p.idle {
-		for _, c := range list {
-			c.Close()
-		}
-		delete(p.idle, address)
+	if !x.over.Swap(true) {
+		x.conn.Close()
 	}
 }
