Duty: nothing is ordered where the cloud rejects orders, a rejected report does not hold up others

Found by an unusual deployment (neon with two runners): zone prices name a third zone in which the service does not run; the cloud answers 400 to each order. Cause: any answer but 200 and 409 counted as an outage, so both kinds were ordered there again every 0.4 s, and the planner put a third of the capacity where none comes. Ruled out: taking zones from the entries of upstreams alone; a zone of which all were taken away before a daemon's start would never get any back.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -61,6 +61,9 @@
 	// reorderAfter is how long an order may have fewer upstreams than it names
 	// before it is given again: they boot in 4 s.
 	reorderAfter = 7 * time.Second
+	// closedFor is how long nothing is ordered where the cloud rejects orders: a new
+	// configuration may open the zone.
+	closedFor = time.Minute
 )
 
 // Errors of the store and the cloud.
@@ -70,6 +73,8 @@
 	// ErrFenced says that the cloud has seen a higher token, or has none of what
 	// was ordered.
 	ErrFenced = errors.New("cloud refused")
+	// ErrRejected says that the cloud will not take the call, however often it comes.
+	ErrRejected = errors.New("cloud rejected the call")
 )
 
 // Store is what the duty needs of the platform's store. Its errors name step
@@ -129,8 +134,9 @@
 	Complete func() bool
 	// EpochMS returns the epoch to propose: the median over the daemons in touch.
 	EpochMS func() int64
-	// Plan returns how many upstreams there should be, Have how many there are.
-	Plan func() map[capacity.Place]int
+	// Plan returns how many upstreams there should be, where upstreams of a service
+	// can be ordered in a zone; Have returns how many there are.
+	Plan func(open func(service, zone string) bool) map[capacity.Place]int
 	Have func() map[capacity.Place]int
 	// Reports tells whether usage is to be reported.
 	Reports bool
@@ -150,12 +156,13 @@
 	sent    map[int64]bool
 	tried   map[int64]time.Duration
 	orders  *orders
-	token   chan int64 // newest token while held, for Token
+	closed  map[site]time.Duration // boot time until which nothing is ordered there
+	token   chan int64             // newest token while held, for Token
 }
 
 // New returns a duty that is not held.
 func New(c Config) *Duty {
-	d := &Duty{Config: c, machine: chart.MustLoad("duty").Start(), token: make(chan int64, 1)}
+	d := &Duty{Config: c, machine: chart.MustLoad("duty").Start(), token: make(chan int64, 1), closed: make(map[site]time.Duration)}
 	d.token <- 0
 	return d
 }
@@ -278,9 +285,9 @@
 	return nil
 }
 
-// open returns the counts of windows that are not settled: all daemons may end
+// openCounts returns the counts of windows that are not settled: all daemons may end
 // before they are.
-func (d *Duty) open() []usage.Tally {
+func (d *Duty) openCounts() []usage.Tally {
 	if !d.Reports {
 		return nil
 	}
@@ -322,7 +329,7 @@
 // have been done.
 func (d *Duty) renew(ctx context.Context) {
 	next := d.row
-	next.Pending, next.Open = d.unsent(), d.open()
+	next.Pending, next.Open = d.unsent(), d.openCounts()
 	err := d.write(ctx, next)
 	if err == nil {
 		d.dirty = false
@@ -368,7 +375,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	next := d.row
-	next.Pending, next.Open = d.unsent(), d.open()
+	next.Pending, next.Open = d.unsent(), d.openCounts()
 	next.UntilMS = 0
 	value, err := json.Marshal(next)
 	if err == nil {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -52,15 +52,17 @@
 
 // fakeCloud checks what must hold of fenced calls.
 type fakeCloud struct {
-	t       *testing.T
-	token   int64
-	holders map[int64]string
-	usage   map[int64]map[string]int64
-	orders  []capacity.Place
-	down    bool
-	none    bool
-	calls   int
-	took    func() // called in each call
+	t        *testing.T
+	token    int64
+	holders  map[int64]string
+	usage    map[int64]map[string]int64
+	orders   []capacity.Place
+	down     bool
+	none     bool
+	rejected int64  // a window that is not taken
+	closed   string // a zone in which nothing is ordered
+	calls    int
+	took     func() // called in each call
 }
 
 func (c *fakeCloud) fence(f Fence) error {
@@ -85,6 +87,9 @@
 	if err := c.fence(f); err != nil {
 		return err
 	}
+	if r.Window == c.rejected {
+		return ErrRejected
+	}
 	if old, ok := c.usage[r.Window]; ok {
 		assert.Assert(c.t, maps.Equal(old, r.Counts), "window %d: %v and %v", r.Window, old, r.Counts)
 	}
@@ -99,6 +104,9 @@
 	if c.none {
 		return ErrFenced
 	}
+	if p.Zone == c.closed {
+		return ErrRejected
+	}
 	c.orders = append(c.orders, p)
 	return nil
 }
@@ -124,7 +132,7 @@
 		Held:     func() bool { return false },
 		Complete: func() bool { return true },
 		EpochMS:  func() int64 { return 1_700_000_000_000 },
-		Plan:     func() map[capacity.Place]int { return nil },
+		Plan:     func(func(string, string) bool) map[capacity.Place]int { return nil },
 		Have:     func() map[capacity.Place]int { return nil },
 		Reports:  true,
 	})
@@ -248,7 +256,7 @@
 	w := newWorld(t)
 	a := w.duty("a")
 	place := capacity.Place{Service: "s", Zone: "z", Kind: capacity.Reclaimable}
-	a.Plan = func() map[capacity.Place]int { return map[capacity.Place]int{place: 2} }
+	a.Plan = func(func(string, string) bool) map[capacity.Place]int { return map[capacity.Place]int{place: 2} }
 	a.Have = func() map[capacity.Place]int { return nil }
 	w.cloud.none = true
 	w.step(a)
@@ -325,7 +333,7 @@
 	assert.Assert(t, len(a.row.Pending) > 1)
 	w.cloud.down = true
 	w.cloud.took = func() { a.renewAt = 0 }
-	a.Plan = func() map[capacity.Place]int { return map[capacity.Place]int{place: 2} }
+	a.Plan = func(func(string, string) bool) map[capacity.Place]int { return map[capacity.Place]int{place: 2} }
 	tried := 0
 	a.Have = func() map[capacity.Place]int { tried++; return nil }
 	for range 4 {
@@ -337,3 +345,49 @@
 	}
 	assert.Assert(t, tried > 0, "orders had no turn")
 }
+
+// TestClosedZoneIsLeftAlone orders for a service in a zone in which the cloud has
+// none of it: the others are ordered all the same, and it is not asked again soon.
+func TestClosedZoneIsLeftAlone(t *testing.T) {
+	w := newWorld(t)
+	a := w.duty("a")
+	w.cloud.closed = "z1"
+	a.Plan = func(open func(service, zone string) bool) map[capacity.Place]int {
+		plan := make(map[capacity.Place]int)
+		for _, z := range []string{"z1", "z2", "z3"} {
+			if open("s", z) {
+				plan[capacity.Place{Service: "s", Zone: z, Kind: capacity.Firm}] = 2
+				plan[capacity.Place{Service: "s", Zone: z, Kind: capacity.Reclaimable}] = 1
+			}
+		}
+		return plan
+	}
+	w.step(a)
+	w.step(a)
+	assert.Equal(t, len(w.cloud.orders), 4)
+	calls := w.cloud.calls
+	assert.Equal(t, calls, 5, "one for the closed zone")
+	for range 3 {
+		a.orders = newOrders() // as a new token does
+		w.step(a)
+	}
+	assert.Equal(t, w.cloud.calls, calls+12)
+}
+
+// TestRejectedReportDoesNotHoldUpOthers has the cloud reject a window for good.
+func TestRejectedReportDoesNotHoldUpOthers(t *testing.T) {
+	w := newWorld(t)
+	a := w.duty("a")
+	w.step(a)
+	first := a.row.Reported + 1
+	w.cloud.rejected = first
+	w.windows(3)
+	w.ahead += settle
+	for range 3 {
+		a.tried = make(map[int64]time.Duration)
+		w.step(a)
+	}
+	_, reported := w.cloud.usage[first+1]
+	assert.Assert(t, reported)
+	assert.Assert(t, a.sent[first], "given up, with a line in the log")
+}
--- a/internal/node/fleetduty.go
+++ b/internal/node/fleetduty.go
@@ -33,7 +33,7 @@
 		},
 		EpochMS: n.epochMS,
 		Have:    n.fleet.have,
-		Plan: func() map[capacity.Place]int {
+		Plan: func(open func(service, zone string) bool) map[capacity.Place]int {
 			now := boottime.Now()
 			if !n.OrdersUpstreams || n.proxy.Catalog() == nil {
 				return nil
@@ -47,7 +47,9 @@
 			}
 			plan := make(map[capacity.Place]int)
 			for name, s := range n.proxy.Catalog().Services {
-				d := capacity.Demand{Service: s, Zones: n.serviceZones(name), Work: work[name]}
+				closed := func(zone string) bool { return !open(name, zone) }
+				zones := slices.DeleteFunc(n.serviceZones(name), closed)
+				d := capacity.Demand{Service: s, Zones: zones, Work: work[name]}
 				for p, count := range planner.Plan(d, now) {
 					plan[p] = count
 				}
