Views: the newest rows are published last

Cause: a view told of its rows after it let go of its lock; an answer of the store and a daemon's table that came at once could be taken in the wrong order, and a leaving upstream was back until the next change. Found by reading for the model of the configuration in force. TestNewestRowsArePublishedLast failed before.

--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -87,6 +87,8 @@
 	Config
 	source Source
 
+	publishing sync.Mutex // held from the copy of the rows until they were taken in
+
 	mu      sync.Mutex
 	rows    map[string]Row
 	held    map[string]holding
@@ -263,7 +265,10 @@
 	return dirty
 }
 
+// publish tells of the rows as they are now. What is told last is the newest.
 func (v *View) publish() {
+	v.publishing.Lock()
+	defer v.publishing.Unlock()
 	v.mu.Lock()
 	rows := make(map[string]Row, len(v.rows))
 	for k, r := range v.rows {
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -114,3 +116,37 @@
 	assert.Equal(t, h.lists, 1)
 	assert.Equal(t, keys(v), 1)
 }
+
+// TestNewestRowsArePublishedLast lets another daemon's newer table come while an
+// older state is being taken in: what is published last must be the newest.
+func TestNewestRowsArePublishedLast(t *testing.T) {
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	var mu sync.Mutex
+	var seen []int
+	first := true
+	v := New(nil, Config{Table: "t", Log: hclog.NewNullLogger(), OthersRead: func() bool { return false }})
+	v.Changed = func(rows map[string]Row) {
+		mu.Lock()
+		wait := first
+		first = false
+		mu.Unlock()
+		if wait {
+			close(begun)
+			<-goOn
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		seen = append(seen, len(rows))
+	}
+	var tasks sync.WaitGroup
+	tasks.Go(func() { v.apply(Page{Version: 10, Rows: []Row{{Key: "a", Version: 5}}}, true) })
+	<-begun
+	tasks.Go(func() { v.Offer([]Row{{Key: "a", Version: 5}, {Key: "b", Version: 12}}, 12, "peer") })
+	for v.Known() != 12 {
+		runtime.Gosched()
+	}
+	time.Sleep(10 * time.Millisecond) // for the newer one to be published, were it not to wait
+	close(goOn)
+	tasks.Wait()
+	assert.DeepEqual(t, seen, []int{1, 2})
+}
