Quota: daemons that lose touch keep their part of what a bucket holds

Cause: a copy held the whole bucket and used its part of it again and again while out of touch, and daemons that came back added what each had left. Six daemons out of touch at four times the limit took 4,869,000 tokens in a window of 4,824,000; with a burst of ten seconds 16,533,000 of 9,576,000. Mend: what the bucket holds is divided when touch is lost; what others come back with is not added.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -5,8 +5,9 @@
 // what it admits itself and, as it hears of it, what the others admit. As long
 // as the others cannot know of what a daemon admitted, it may take only its
 // share of what the bucket held: shares add up to one, so that all together
-// take no more than there is, but for the last request of each. Daemons that are out of touch keep a fixed part
-// of the limit, which the others leave alone.
+// take no more than there is, but for the last request of each. Daemons that lose
+// touch keep their part of what the bucket holds and of its refill; the others
+// leave both alone.
 package quota
 
 import (
@@ -167,7 +168,9 @@
 	for _, b := range k.buckets {
 		k.refill(b, now)
 	}
+	before := k.part()
 	k.all, k.touched = max(all, 1), max(min(touched, all), 1)
+	k.divide(before)
 	k.unseen = max(minUnseen, time.Duration(unseenExchanges*float64(exchange)))
 	k.silence = max(minPause, time.Duration(pauseExchanges*float64(exchange)))
 }
@@ -175,6 +178,21 @@
 // part is the part of each limit that the daemons in touch may use.
 func (k *Keeper) part() float64 { return float64(k.touched) / float64(k.all) }
 
+// divide leaves to daemons that are not in touch any more their part of what the
+// buckets hold. What those that come back had left is not added: the sum of all
+// parts never exceeds the bucket, and the refill soon makes up for it.
+func (k *Keeper) divide(before float64) {
+	part := k.part()
+	if part >= before {
+		return
+	}
+	for _, b := range k.buckets {
+		if b.level > 0 {
+			b.level *= part / before
+		}
+	}
+}
+
 func (k *Keeper) refill(b *bucket, now time.Duration) {
 	step := now - b.at
 	if step <= 0 {
@@ -182,9 +200,11 @@
 	}
 	b.at = now
 	if step > minPause {
+		before := k.part()
 		k.touched = 1 // until the others are heard again
+		k.divide(before)
 	}
-	b.level = math.Min(b.level+b.limit.Rate*step.Seconds()*k.part(), b.limit.Burst)
+	b.level = math.Min(b.level+b.limit.Rate*step.Seconds()*k.part(), b.limit.Burst*k.part())
 }
 
 // Decision tells whether a request was admitted, and by what.
@@ -211,7 +231,7 @@
 	d := Decision{Level: b.level, Mine: mine, Share: k.share(b), Part: k.part()}
 	// What is taken too much by the last request is paid back from the refill, so
 	// that the largest requests are admitted as often as usual ones.
-	mayTake := b.mayTake(cost, (b.level+mine)*d.Part, d.Share)
+	mayTake := b.mayTake(cost, b.level+mine, d.Share)
 	if mine >= mayTake {
 		d.Wait = b.wait(mine-mayTake, d.Share*d.Part)
 		return d
@@ -339,7 +359,6 @@
 		k.refill(b, now)
 		b.others[name] = s.Demand
 		if anew {
-			b.level = math.Min(b.level, s.Level)
 			continue
 		}
 		b.level = math.Min(b.level-taken, b.limit.Burst)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -353,3 +353,26 @@
 	assert.Assert(t, large >= 0.9*10*limit.Rate, "large: %v", large)
 	assert.Assert(t, f.most(8*time.Second) <= bound(limit), "%v", f.most(8*time.Second))
 }
+
+// TestAllCutFromEachOther lets every daemon lose touch with every other while a
+// customer asks for four times its limit, at limits with small and large bursts.
+func TestAllCutFromEachOther(t *testing.T) {
+	for _, burst := range []float64{100000, 480000, 4800000} {
+		limit := Limit{Rate: 480000, Burst: burst}
+		for _, cut := range [][]int{{0, 1, 2, 3, 4, 5}, {0, 1, 2}, {0}} {
+			f := newFleet(6, limit, 7)
+			f.play(time.Minute, even(6, 1), 1)
+			for _, i := range cut {
+				f.cut[i] = true
+			}
+			f.play(10*time.Second, even(6, 2e6), 9000)
+			for _, i := range cut {
+				f.cut[i] = false
+			}
+			f.play(10*time.Second, even(6, 2e6), 9000)
+			most := f.most(8 * time.Second)
+			t.Logf("burst %v, %d cut: %.0f of %.0f", burst, len(cut), most, bound(limit))
+			assert.Check(t, most <= bound(limit))
+		}
+	}
+}
