Views: the table of a daemon that has read less brings nothing back

A daemon that lagged then offered its table as newer, and a removed upstream was in force again; the feed, read past the removal, did not take it away. Ruled out: raising the version of the newest change with each answer; versions count all tables, so daemons would offer each other whole tables all the time. Mend: a table is taken only if it is newer than all that was read of the store.

--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -317,14 +317,15 @@
 	return rows, v.changed
 }
 
-// Offer takes in the snapshot of another daemon if that knows a newer change.
+// Offer takes in the snapshot of another daemon if that knows a newer change than
+// this one has in force or has read of.
 func (v *View) Offer(rows []Row, changed int64, from string) {
 	v.mu.Lock()
-	if changed <= v.changed {
+	before := max(v.changed, v.after)
+	if changed <= before {
 		v.mu.Unlock()
 		return
 	}
-	before := v.changed
 	for _, r := range rows {
 		if _, known := v.rows[r.Key]; known || r.Version > before {
 			v.put(r, 0) // one that is not known and older is gone, and held by the other
--- a/internal/views/views_test.go
+++ b/internal/views/views_test.go
@@ -150,3 +150,18 @@
 	tasks.Wait()
 	assert.DeepEqual(t, seen, []int{1, 2})
 }
+
+// TestLaggingDaemonDoesNotBringBackWhatIsGone offers the table of a daemon that
+// has read less of the store: it lacks the removal that a whole table has shown.
+func TestLaggingDaemonDoesNotBringBackWhatIsGone(t *testing.T) {
+	v := New(nil, Config{
+		Table: "t", Log: hclog.NewNullLogger(),
+		OthersRead: func() bool { return false },
+		Changed:    func(map[string]Row) {},
+	})
+	v.apply(Page{Version: 10, Rows: []Row{{Key: "a", Version: 2}}}, true) // b was removed by change 9
+	v.Offer([]Row{{Key: "a", Version: 2}, {Key: "b", Version: 8}}, 8, "peer")
+	assert.Equal(t, keys(v), 1)
+	v.Offer([]Row{{Key: "a", Version: 2}, {Key: "b", Version: 12}}, 12, "peer")
+	assert.Equal(t, keys(v), 2, "a newer one is taken")
+}
