--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -12,10 +12,14 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
 	"github.com/lagoonmux/lagoonmux/internal/capacity"
+	"github.com/lagoonmux/lagoonmux/internal/invariant"
 	"github.com/lagoonmux/lagoonmux/internal/truetime"
 	"github.com/lagoonmux/lagoonmux/internal/usage"
 )
 
+// A broken invariant ends the tests.
+func init() { invariant.Strict() }
+
 // errLost says that an answer was lost.
 var errLost = errors.New("answer lost")
 
--- a/internal/duty/work.go
+++ b/internal/duty/work.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
+	"github.com/lagoonmux/lagoonmux/internal/invariant"
 )
 
 // settleWindows fixes the counts of windows that have ended. They are sent only
@@ -54,6 +55,10 @@
 }
 
 func (d *Duty) call(ctx context.Context, do func(context.Context) error) error {
+	if d.dirty || d.row.Holder != d.Name || d.row.Born != d.Born {
+		invariant.Broken(d.Log, "ONE", "token", d.row.Token, "holder", d.row.Holder, "born", d.row.Born, "dirty", d.dirty)
+		return errors.New("call not made: the row does not stand for it")
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(cloudTimeout, d.heldBy-boottime.Now()))
 	defer cancel()
 	return do(ctx)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/lagoonmux/lagoonmux/internal/invariant"
 	"github.com/lagoonmux/lagoonmux/internal/proxy"
 )
 
@@ -28,12 +29,20 @@
 	mu       sync.Mutex
 	counts   map[series]int64
 	first    map[series]*hdrhistogram.Histogram
+	upstream map[tried]int64
 	leftOut  int64
-	repeated int64
+	repeated int64 // sends beyond the first of each request
+	resumed  int64 // streams that went on at another upstream
+	read     int64 // prompt tokens that first sends made upstreams read
+	again    int64 // the same of later sends
 }
 
+// tried names one upstream and how attempts there ended.
+type tried struct{ upstream, end string }
+
 func newMetrics() *metrics {
-	return &metrics{counts: make(map[series]int64), first: make(map[series]*hdrhistogram.Histogram)}
+	return &metrics{counts: make(map[series]int64), first: make(map[series]*hdrhistogram.Histogram),
+		upstream: make(map[tried]int64)}
 }
 
 // cause names what became of a request.
@@ -55,13 +64,13 @@
 func (m *metrics) add(r *proxy.Record) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.addAttempts(r)
 	s := series{r.Customer, r.Kind.String(), cause(r)}
 	if _, ok := m.counts[s]; !ok && len(m.counts) >= maxSeries {
 		m.leftOut++
 		return
 	}
 	m.counts[s]++
-	m.repeated += int64(max(r.Sends-1, 0))
 	if r.First.IsZero() {
 		return
 	}
@@ -74,6 +83,26 @@
 	_ = h.RecordValue(min(max(int64(r.First.Sub(r.Arrived)/time.Millisecond), 1), maxMillis))
 }
 
+// addAttempts counts where a request was sent. The caller holds mu.
+func (m *metrics) addAttempts(r *proxy.Record) {
+	m.repeated += int64(max(r.Sends-1, 0))
+	if r.Resumed {
+		m.resumed++
+	}
+	for i, a := range r.Attempts {
+		if i == 0 {
+			m.read += int64(a.Missing)
+		} else {
+			m.again += int64(a.Missing)
+		}
+		key := tried{a.Upstream, a.End}
+		if _, ok := m.upstream[key]; !ok && len(m.upstream) >= maxSeries {
+			m.upstream = make(map[tried]int64) // most are of upstreams that are gone
+		}
+		m.upstream[key]++
+	}
+}
+
 // write prints all metrics, one a line.
 func (m *metrics) write(w io.Writer) {
 	m.mu.Lock()
@@ -87,9 +116,17 @@
 			lines = append(lines, fmt.Sprintf("lagoonmux_first_ms{customer=%q,kind=%q,quantile=\"%g\"} %d", s.customer, s.kind, q/100, h.ValueAtQuantile(q)))
 		}
 	}
+	for t, n := range m.upstream {
+		lines = append(lines, fmt.Sprintf("lagoonmux_attempts_total{upstream=%q,end=%q} %d", t.upstream, t.end, n))
+	}
+	for name, n := range map[string]int64{
+		"repeated_total": m.repeated, "resumed_total": m.resumed, "prompt_tokens_read_total": m.read,
+		"prompt_tokens_read_again_total": m.again, "series_left_out_total": m.leftOut, "invariants_broken_total": invariant.Count(),
+	} {
+		lines = append(lines, fmt.Sprintf("lagoonmux_%s %d", name, n))
+	}
 	slices.Sort(lines)
 	for _, l := range lines {
 		_, _ = fmt.Fprintln(w, l)
 	}
-	_, _ = fmt.Fprintf(w, "lagoonmux_repeated_total %d\nlagoonmux_series_left_out_total %d\n", m.repeated, m.leftOut)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,6 +162,7 @@
 		Budget:   n.budget,
 		Work:     n.work,
 		Observer: n,
+		Log:      log.Named("proxy"),
 		Fresh:    n.fresh,
 		Closed:   n.closed,
 		Daemons:  func() int { all, _ := n.mesh.Count(); return all },
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -49,3 +50,29 @@
 		assert.Assert(t, strings.Contains(out.String(), want), "%s lacks %s", out.String(), want)
 	}
 }
+
+func TestMetricsOfAttempts(t *testing.T) {
+	m := newMetrics()
+	m.add(&proxy.Record{Customer: "c", Kind: catalog.Stream, Status: 200, Sends: 2, Resumed: true, Attempts: []proxy.Attempt{
+		{Upstream: "u1", End: "broken", Missing: 700}, {Upstream: "u2", End: "done", Missing: 900},
+	}})
+	m.add(&proxy.Record{Customer: "c", Kind: catalog.Stream, Status: 200, Sends: 1, Attempts: []proxy.Attempt{{Upstream: "u2", End: "done", Missing: 50}}})
+	var out strings.Builder
+	m.write(&out)
+	for _, want := range []string{
+		`lagoonmux_attempts_total{upstream="u1",end="broken"} 1`, `lagoonmux_attempts_total{upstream="u2",end="done"} 2`,
+		"lagoonmux_resumed_total 1", "lagoonmux_prompt_tokens_read_total 750", "lagoonmux_prompt_tokens_read_again_total 900",
+		"lagoonmux_invariants_broken_total 0",
+	} {
+		assert.Assert(t, strings.Contains(out.String(), want+"\n"), "%s lacks %s", out.String(), want)
+	}
+}
+
+// TestAttemptsOfUpstreamsThatAreGone replays two months of replaced upstreams.
+func TestAttemptsOfUpstreamsThatAreGone(t *testing.T) {
+	m := newMetrics()
+	for i := range 24000 {
+		m.add(&proxy.Record{Attempts: []proxy.Attempt{{Upstream: fmt.Sprint("u", i), End: "done"}}})
+	}
+	assert.Assert(t, len(m.upstream) <= maxSeries)
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -100,6 +100,10 @@
 		conn.Release()
 		return a.ended(ctx, expired), nil
 	}
+	if end, must := a.mustNotSend(); must {
+		conn.Release()
+		return a.ended(ctx, end), errInvariant
+	}
 	a.sends++
 	a.Work.Add(a.service.Name, a.choice.Missing, a.req.OutputTokens, boottime.Now())
 	e, err := a.exchange(ctx, left)
@@ -245,6 +249,9 @@
 	if err != io.EOF {
 		return lost, err
 	}
+	if a.mustNotPass() {
+		return lost, errInvariant
+	}
 	a.noteFirst()
 	status := a.head.StatusCode()
 	if a.verdict.Promise && !a.route.MayRepeat() {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/catalog"
@@ -96,6 +97,7 @@
 	Budget   *Budget
 	Work     *Work
 	Observer Observer
+	Log      hclog.Logger // of broken invariants
 	// Fresh tells whether the configuration is known to be the newest; a route or
 	// key that it lacks is denied only then.
 	Fresh func() bool
@@ -116,8 +118,13 @@
 // New returns a proxy that refuses everything until SetCatalog.
 func New(c Config) *Proxy { return &Proxy{Config: c} }
 
-// SetCatalog puts a configuration into force for requests from now on.
-func (p *Proxy) SetCatalog(c *catalog.Config) { p.current.Store(c) }
+// SetCatalog puts a configuration into force for requests from now on. It must be
+// called from one goroutine at a time; one older than that in force is dropped.
+func (p *Proxy) SetCatalog(c *catalog.Config) {
+	if !p.older(c) {
+		p.current.Store(c)
+	}
+}
 
 // Catalog returns the configuration in force, or nil.
 func (p *Proxy) Catalog() *catalog.Config { return p.current.Load() }
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -37,11 +37,26 @@
 	Missing  int
 	Usable   int
 
-	tries strings.Builder
+	// Attempts are all in order, each at its own upstream.
+	Attempts []Attempt
+	Resumed  bool // the answer went on at another upstream
+}
+
+// Attempt is what became of one choice of an upstream.
+type Attempt struct {
+	Upstream string
+	End      string
+	Missing  int // prompt tokens that it had to read; 0 where nothing was sent
 }
 
 // Tries tells which upstreams were tried and how that ended.
-func (r *Record) Tries() string { return r.tries.String() }
+func (r *Record) Tries() string {
+	list := make([]string, len(r.Attempts))
+	for i, a := range r.Attempts {
+		list[i] = a.Upstream + ":" + a.End
+	}
+	return strings.Join(list, ",")
+}
 
 func (r *Record) note(c place.Choice) {
 	r.Chosen, r.Expected = c.Upstream.ID, c.Expected
@@ -49,10 +64,11 @@
 }
 
 func (r *Record) tried(c place.Choice, e ending, err error) {
-	if r.tries.Len() > 0 {
-		r.tries.WriteByte(',')
+	a := Attempt{Upstream: c.Upstream.ID, End: e.String(), Missing: c.Missing}
+	if e == unsent {
+		a.Missing = 0
 	}
-	r.tries.WriteString(c.Upstream.ID + ":" + e.String())
+	r.Attempts = append(r.Attempts, a)
 	if err != nil {
 		r.Reason = err.Error()
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -143,6 +143,9 @@
 	if err != nil {
 		return &passError{a.cut(), err}
 	}
+	if a.mustNotPass() || a.mustNotStream(events) {
+		return &passError{a.cut(), errInvariant}
+	}
 	a.noteFirst()
 	if !a.out.begun {
 		a.out.begun = true
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -6,8 +6,13 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/invariant"
 )
 
+// A broken invariant ends the tests.
+func init() { invariant.Strict() }
+
 func TestOnlyWholeEventsPass(t *testing.T) {
 	for text, want := range map[string]int{
 		"":                             0,
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -169,6 +169,7 @@
 
 // refuse answers for the daemon itself.
 func (t *task) refuse(r refusal) {
+	r = t.honest(r)
 	t.record.Status, t.record.Reason = r.status, r.reason
 	t.record.Retry = r.retry
 	if r.status == fasthttp.StatusServiceUnavailable {
@@ -221,6 +222,7 @@
 			return
 		}
 		t.record.note(choice)
+		t.record.Resumed = t.record.Resumed || t.out.begun
 		a := &attempt{task: t, choice: choice, began: time.Now()}
 		end, err := a.run(ctx)
 		t.Placer.Done(choice, a.outcome(end), a.first, boottime.Now())
