--- a/cmd/lagoonstand/reclaim.go
+++ b/cmd/lagoonstand/reclaim.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/platform/cloud"
 	cloudapi "github.com/lagoonmux/lagoonmux/internal/standin/cloud"
+	"github.com/lagoonmux/lagoonmux/internal/standin/wire"
 )
 
 func reclaimCommand(app *kingpin.Application) command {
@@ -34,22 +32,6 @@
 }
 
 func reclaim(address string, r *cloudapi.Reclaim) ([]cloud.VM, error) {
-	body, err := json.Marshal(r)
-	if err != nil {
-		return nil, err
-	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + address + cloudapi.ReclaimPath)
-	req.SetBodyRaw(body)
-	if err := fasthttp.DoTimeout(req, resp, probeTime); err != nil {
-		return nil, errors.Wrapf(err, "reclaim at %s", address)
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, errors.Errorf("reclaim at %s: status %d: %s", address, resp.StatusCode(), resp.Body())
-	}
 	var vms []cloud.VM
-	return vms, errors.Wrapf(json.Unmarshal(resp.Body(), &vms), "reclaim at %s", address)
+	return vms, wire.Post(address, cloudapi.ReclaimPath, probeTime, r, &vms)
 }
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -17,6 +17,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/platform/cloud"
+	"github.com/lagoonmux/lagoonmux/internal/standin/wire"
 )
 
 // ReclaimPath takes a Reclaim, and RefusePath the share of starts to refuse as
@@ -105,15 +106,15 @@
 	path := string(ctx.Path())
 	switch {
 	case path == cloud.VMsPath && ctx.IsGet():
-		writeJSON(ctx, s.listed(time.Now()))
+		wire.Write(ctx, s.listed(time.Now()))
 	case path == cloud.VMsPath && ctx.IsPost():
 		s.start(ctx)
 	case strings.HasPrefix(path, cloud.VMsPath+"/") && ctx.IsDelete():
 		s.remove(strings.TrimPrefix(path, cloud.VMsPath+"/"))
 	case path == cloud.OffersPath:
-		writeJSON(ctx, s.offers)
+		wire.Write(ctx, s.offers)
 	case path == cloud.NoticesPath:
-		writeJSON(ctx, s.notices(ctx.QueryArgs().PeekMulti("vm")))
+		wire.Write(ctx, s.notices(ctx.QueryArgs().PeekMulti("vm")))
 	case strings.HasPrefix(path, cloud.WeightsPath):
 		s.load(ctx)
 	case path == ReclaimPath && ctx.IsPost():
@@ -149,7 +150,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if vm, ok := s.started[order.Token]; ok {
-		writeJSON(ctx, vm)
+		wire.Write(ctx, vm)
 		return
 	}
 	if s.rng.Float64() < s.refuse || s.config.OnStart == nil {
@@ -162,7 +163,7 @@
 	s.started[order.Token] = vm
 	s.vms = append(s.vms, vm)
 	s.changed()
-	writeJSON(ctx, vm)
+	wire.Write(ctx, vm)
 }
 
 func (s *Server) remove(id string) {
@@ -216,7 +217,7 @@
 		}
 	}
 	s.changed()
-	writeJSON(ctx, reclaimed)
+	wire.Write(ctx, reclaimed)
 }
 
 // drawn tells whether r concerns vm. The caller holds the lock.
@@ -243,13 +244,3 @@
 		ctx.Error("rate limit", fasthttp.StatusTooManyRequests)
 	}
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(data)
-}
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -1,15 +1,14 @@
 package standin
 
 import (
-	"encoding/json"
 	"os"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
+	"github.com/lagoonmux/lagoonmux/internal/standin/wire"
 )
 
 const faultTimeout = 2 * time.Second
@@ -67,21 +66,5 @@
 // PostFaults posts the plan to the stand-in at address, which may be followed
 // by a path.
 func PostFaults(address string, plan faults.Plan) error {
-	body, err := json.Marshal(plan)
-	if err != nil {
-		return errors.Wrap(err, "encode faults")
-	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + address + faults.Path)
-	req.SetBodyRaw(body)
-	if err := fasthttp.DoTimeout(req, resp, faultTimeout); err != nil {
-		return errors.Wrapf(err, "set faults at %s", address)
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return errors.Errorf("set faults at %s: status %d: %s", address, resp.StatusCode(), resp.Body())
-	}
-	return nil
+	return wire.Post(address, faults.Path, faultTimeout, plan, nil)
 }
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"encoding/json"
 	"strconv"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/completion"
 	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
+	"github.com/lagoonmux/lagoonmux/internal/standin/wire"
 )
 
 // Paths beside the completions call.
@@ -39,7 +39,7 @@
 	case PathCancel:
 		e.cancel(ctx)
 	case PathLoad:
-		writeJSON(ctx, e.load(time.Now()))
+		wire.Write(ctx, e.load(time.Now()))
 	case PathEvents:
 		e.cacheEvents(ctx)
 	case PathExport:
@@ -51,7 +51,7 @@
 	case PathOrders:
 		e.order(ctx)
 	case PathStats:
-		writeJSON(ctx, e.Stats())
+		wire.Write(ctx, e.Stats())
 	case PathRan:
 		e.ran(ctx)
 	default:
@@ -146,19 +146,19 @@
 
 func (e *Engine) cancel(ctx *fasthttp.RequestCtx) {
 	var req cancelRequest
-	if !readJSON(ctx, &req) {
+	if !wire.Read(ctx, &req) {
 		return
 	}
 	var resp cancelResponse
 	if _, ok := e.set.Draw(faults.Ignore, PathCancel); !ok {
 		_ = e.do(func(c *core, now time.Time) { resp.Canceled = c.cancel(req.RequestID, req.Attempt, now) })
 	}
-	writeJSON(ctx, resp)
+	wire.Write(ctx, resp)
 }
 
 func (e *Engine) order(ctx *fasthttp.RequestCtx) {
 	var o Order
-	if !readJSON(ctx, &o) {
+	if !wire.Read(ctx, &o) {
 		return
 	}
 	var refusal error
@@ -174,13 +174,13 @@
 		if o.Order == orderStop {
 			e.set.Leave(0, false)
 		}
-		writeJSON(ctx, o)
+		wire.Write(ctx, o)
 	}
 }
 
 func (e *Engine) ran(ctx *fasthttp.RequestCtx) {
 	var ids []string
-	if !readJSON(ctx, &ids) {
+	if !wire.Read(ctx, &ids) {
 		return
 	}
 	ran := []string{}
@@ -191,7 +191,7 @@
 			}
 		}
 	})
-	writeJSON(ctx, ran)
+	wire.Write(ctx, ran)
 }
 
 // cacheEvent is one event as it is given out.
@@ -224,25 +224,5 @@
 		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(ctx, out)
-}
-
-// readJSON decodes the body into v, or answers 400 and returns false.
-func readJSON(ctx *fasthttp.RequestCtx, v any) bool {
-	if err := json.Unmarshal(ctx.PostBody(), v); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-// writeJSON answers with v.
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(data)
+	wire.Write(ctx, out)
 }
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/completion"
+	"github.com/lagoonmux/lagoonmux/internal/standin/wire"
 )
 
 const (
@@ -28,7 +29,7 @@
 // export makes the KV cache of a running request available to other engines.
 func (e *Engine) export(ctx *fasthttp.RequestCtx) {
 	var req exportRequest
-	if !readJSON(ctx, &req) {
+	if !wire.Read(ctx, &req) {
 		return
 	}
 	var resp exportResponse
@@ -49,7 +50,7 @@
 		ctx.Error("no such request in the batch", fasthttp.StatusNotFound)
 		return
 	}
-	writeJSON(ctx, resp)
+	wire.Write(ctx, resp)
 }
 
 type importRequest struct {
@@ -64,7 +65,7 @@
 // importKV fetches an exported KV cache from another engine.
 func (e *Engine) importKV(ctx *fasthttp.RequestCtx) {
 	var req importRequest
-	if !readJSON(ctx, &req) {
+	if !wire.Read(ctx, &req) {
 		return
 	}
 	status, body, err := fasthttp.GetTimeout(nil, "http://"+req.From+pathKV+"?handle="+req.Handle, kvImportTimeout)
@@ -86,7 +87,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(ctx, importResponse{Tokens: tokens})
+	wire.Write(ctx, importResponse{Tokens: tokens})
 }
 
 // blocks answers another engine's import.
@@ -98,5 +99,5 @@
 		ctx.Error("no such handle", fasthttp.StatusNotFound)
 		return
 	}
-	writeJSON(ctx, blocks)
+	wire.Write(ctx, blocks)
 }
--- a/internal/standin/load/audit.go
+++ b/internal/standin/load/audit.go
@@ -12,6 +12,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/standin/engine"
 	"github.com/lagoonmux/lagoonmux/internal/standin/plain"
+	"github.com/lagoonmux/lagoonmux/internal/standin/wire"
 )
 
 const auditTimeout = 5 * time.Second
@@ -180,21 +181,8 @@
 }
 
 func ranAt(address string, ids []string) ([]string, error) {
-	body, err := json.Marshal(ids)
-	if err != nil {
-		return nil, err
-	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.SetRequestURI("http://" + address + engine.PathRan)
-	req.SetBodyRaw(body)
-	if err := fasthttp.DoTimeout(req, resp, auditTimeout); err != nil {
-		return nil, errors.Wrapf(err, "audit of %s", address)
-	}
 	var ran []string
-	return ran, errors.Wrapf(json.Unmarshal(resp.Body(), &ran), "audit of %s", address)
+	return ran, wire.Post(address, engine.PathRan, auditTimeout, ids, &ran)
 }
 
 func getJSON(address, path string, v any) error {
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -3,7 +3,6 @@
 package plain
 
 import (
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/routing"
 	"github.com/lagoonmux/lagoonmux/internal/standin/faults"
+	"github.com/lagoonmux/lagoonmux/internal/standin/wire"
 )
 
 // Paths beside those of the service.
@@ -104,11 +104,11 @@
 func (s *Service) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case RunsPath:
-		writeJSON(ctx, s.cfg.Counter.Runs())
+		wire.Write(ctx, s.cfg.Counter.Runs())
 	case StatsPath:
-		writeJSON(ctx, s.stats())
+		wire.Write(ctx, s.stats())
 	case LoadPath:
-		writeJSON(ctx, s.load(time.Now()))
+		wire.Write(ctx, s.load(time.Now()))
 	default:
 		if !s.set.RefuseLeaving(ctx) {
 			s.answer(ctx)
@@ -118,7 +118,7 @@
 
 // answer runs a call and marks the answer with the id of its request.
 func (s *Service) answer(ctx *fasthttp.RequestCtx) {
-	writeJSON(ctx, s.run(ctx))
+	wire.Write(ctx, s.run(ctx))
 	if id := ctx.Request.Header.Peek(faults.RequestIDHeader); len(id) > 0 {
 		ctx.Response.Header.SetBytesV(faults.RequestIDHeader, id)
 	}
@@ -166,13 +166,3 @@
 	}
 	return r
 }
-
-func writeJSON(ctx *fasthttp.RequestCtx, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(data)
-}
