--- /dev/null
+++ b/internal/routing/place/drawn_test.go
@@ -0,0 +1,95 @@
+package place
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/roster"
+)
+
+// drawnRoster is a list of upstreams of which some leave, are gone or were born again.
+func drawnRoster(rnd *rand.Rand) *roster.Roster {
+	var list []*roster.Upstream
+	for i := range 8 {
+		if rnd.IntN(5) == 0 {
+			continue
+		}
+		list = append(list, &roster.Upstream{
+			ID: fmt.Sprint("u", i), Born: int64(rnd.IntN(3)), Service: "s", Zone: fmt.Sprint("z", i%3), Slots: 1 + rnd.IntN(48),
+			Leaving: rnd.IntN(6) == 0,
+		})
+	}
+	return roster.New(list)
+}
+
+// TestDrawnPlaces draws rosters that change under requests, ends of all kinds and
+// words of other daemons. No request goes to an upstream that leaves, is gone or
+// was tried; what is counted as under way never goes below zero and ends at zero.
+func TestDrawnPlaces(t *testing.T) {
+	for seed := range uint64(200) {
+		rnd := rand.New(rand.NewPCG(seed, 4))
+		p := New("z0")
+		now := time.Hour
+		var open []Choice
+		for range 400 {
+			now += time.Duration(rnd.IntN(200)) * time.Millisecond
+			switch rnd.IntN(8) {
+			case 0:
+				p.Update(drawnRoster(rnd), func(string) int { return 600000 })
+			case 1:
+				p.Learn("d", map[string]Load{fmt.Sprint("u", rnd.IntN(8)): {Running: rnd.IntN(40), Backlog: rnd.IntN(50000)}})
+			case 2:
+				p.LearnKept([]Kept{{uint64(rnd.IntN(5)), fmt.Sprint("u", rnd.IntN(9))}}, now)
+			case 3, 4:
+				if len(open) > 0 {
+					i := rnd.IntN(len(open))
+					c := open[i]
+					open = append(open[:i], open[i+1:]...)
+					begun := rnd.IntN(2) == 0
+					if begun {
+						p.First(c, time.Duration(rnd.IntN(900))*time.Millisecond, now)
+					}
+					p.Done(c, Outcome(rnd.IntN(int(Withdrawn)+1)), begun, now)
+				}
+			default:
+				open = append(open, pickDrawn(t, p, rnd, now, seed)...)
+			}
+			checkCounts(t, p, seed)
+		}
+		for _, c := range open {
+			p.Done(c, Answered, false, now)
+		}
+		for _, s := range p.states {
+			assert.Equal(t, s.own, Load{}, "seed %d", seed)
+		}
+	}
+}
+
+// pickDrawn asks for a place and returns the choice, if there is one.
+func pickDrawn(t *testing.T, p *Placer, rnd *rand.Rand, now time.Duration, seed uint64) []Choice {
+	q := Query{Service: "s", Exclude: map[string]bool{fmt.Sprint("u", rnd.IntN(8)): true}}
+	if rnd.IntN(2) == 0 {
+		q.Prompt = []Part{{uint64(rnd.IntN(5)), 1 + rnd.IntN(6000)}, {rnd.Uint64(), 1 + rnd.IntN(3000)}}
+	}
+	c, err := p.Pick(q, now)
+	if err != nil {
+		for _, u := range p.ros.Usable("s") {
+			assert.Assert(t, q.Exclude[u.ID], "seed %d: %s takes requests", seed, u.ID)
+		}
+		return nil
+	}
+	assert.Assert(t, !q.Exclude[c.Upstream.ID] && !c.Upstream.Leaving, "seed %d: %s", seed, c.Upstream.ID)
+	assert.Equal(t, p.ros.Get(c.Upstream.ID), c.Upstream, "seed %d: it is not in force", seed)
+	return []Choice{c}
+}
+
+func checkCounts(t *testing.T, p *Placer, seed uint64) {
+	for k, s := range p.states {
+		assert.Assert(t, s.own.Running >= 0 && s.own.Backlog >= 0, "seed %d: %v: %+v", seed, k, s.own)
+		assert.Assert(t, s.cache.sum >= 0 && s.fails >= 0 && s.fails <= 1, "seed %d: %v", seed, k)
+	}
+}
