--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -51,9 +51,10 @@
 	patience = 6500 * time.Millisecond
 	// maxPending bounds the reports that wait to be sent.
 	maxPending = 24
-	// maxOpen bounds the daemons whose open counts the row holds, at some 200 bytes
-	// each: of a larger fleet so many end at once that nobody knows them any more.
-	maxOpen = 128
+	// maxOpenBytes bounds the open counts in the row, which holds 64 KB at least and
+	// up to 24 reports beside them. What does not fit is of the oldest windows, or of
+	// a fleet so large that some of it survives.
+	maxOpenBytes = 32 << 10
 	// callGap is the least time between two tries of the same call.
 	callGap = 400 * time.Millisecond
 	// refusedGap is the same after an order was refused since there are none.
@@ -291,14 +292,17 @@
 	if !d.Reports {
 		return nil
 	}
-	list := d.Usage.Since(d.row.Reported)
-	if len(list) > maxOpen {
-		return nil
-	}
-	if len(list) > 0 && list[0].Name == "" {
-		list[0].Name, list[0].Born = d.Name, d.Born
+	newest := d.Usage.Number(d.Clock.Now())
+	for from := d.row.Reported; from < newest; from++ {
+		list := d.Usage.Since(from)
+		if len(list) > 0 && list[0].Name == "" {
+			list[0].Name, list[0].Born = d.Name, d.Born
+		}
+		if value, err := json.Marshal(list); err == nil && len(value) <= maxOpenBytes {
+			return list
+		}
 	}
-	return list
+	return nil
 }
 
 // write replaces the row and counts the lease from before the call.
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"testing"
 	"time"
@@ -395,3 +396,37 @@
 	assert.Assert(t, reported)
 	assert.Assert(t, a.sent[first], "given up, with a line in the log")
 }
+
+// TestRowStaysSmall has hundreds of daemons count many customers while reports
+// cannot be sent: the row stays below what the store takes, and the newest counts
+// that fit are in it.
+func TestRowStaysSmall(t *testing.T) {
+	for _, daemons := range []int64{1, 40, 400} {
+		w := newWorld(t)
+		a := w.duty("a")
+		w.step(a)
+		newest := a.Usage.Number(a.Clock.Now())
+		a.row.Reported = newest - 10
+		a.Complete = func() bool { return false }
+		for born := range daemons {
+			var list []usage.Window
+			for n := newest - 9; n <= newest; n++ {
+				counts := make(map[string]int64)
+				for c := range 30 {
+					counts[fmt.Sprint("customer", c)] = 1000
+				}
+				list = append(list, usage.Window{Number: n, Counts: counts})
+			}
+			a.Usage.Learn("b", born, list)
+		}
+		a.renew(context.Background())
+		assert.Assert(t, a.Token() == 1 && len(w.store.value) < leastRow, "%d daemons: %d bytes", daemons, len(w.store.value))
+		assert.Equal(t, len(a.row.Open) > 0, daemons <= 40, "%d daemons", daemons)
+		for _, tally := range a.row.Open {
+			assert.Equal(t, tally.Windows[len(tally.Windows)-1].Number, newest)
+		}
+	}
+}
+
+// leastRow is what a row may hold on the users' platform, in bytes.
+const leastRow = 64 << 10
