--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -218,7 +218,6 @@
 		}
 		choice, err := t.Placer.Pick(t.query(), boottime.Now())
 		if err != nil || try == maxTries {
-			t.askedInVain()
 			t.giveUp(unplaced, err)
 			return
 		}
@@ -239,14 +238,6 @@
 	}
 }
 
-// askedInVain counts the work of a request that no upstream could take, so that
-// upstreams are ordered for it.
-func (t *task) askedInVain() {
-	if t.sends == 0 {
-		t.Work.Add(t.service.Name, t.req.PromptTokens, t.req.OutputTokens, boottime.Now())
-	}
-}
-
 // skip keeps an upstream from being chosen again.
 func (t *task) skip(id string) {
 	if t.exclude == nil {
