--- a/spec/limits_parts.pml
+++ b/spec/limits_parts.pml
@@ -61,9 +61,6 @@
 	atomic {
 		!touch -> touch = true;
 		mine[0] = 0; mine[1] = 0
-#ifdef
-		; level[0] = 2 * level[0]; level[1] = 2 * level[1]
-#endif
 	}
 }
 
