Planner: reclaimable upstreams carry the load, on-demand ones stand in for them

At the start what was given back left before what replaced it booted.

Orders that add go before those that cut; what came and went is ordered again at once.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -1,9 +1,9 @@
 // Package capacity decides how many upstreams of a service to order, where and
 // of which kind.
 //
-// On-demand upstreams alone must carry the load when every reclaimable one has
-// been taken away and none comes back; reclaimable ones, at a fraction of the
-// price, make the answers fast on all other days.
+// Reclaimable upstreams carry the load as long as they can be had. On-demand ones,
+// which cost several times as much, stand in for those that were taken away, and
+// cover what a reclaim of one zone would leave short until others have booted.
 package capacity
 
 import (
@@ -16,16 +16,17 @@
 )
 
 const (
-	// busyFirm is the part of their time for which on-demand upstreams alone may
-	// be busy; above it first events come late (docs/ROUTING.md).
-	busyFirm = 0.72
-	// busyAll is the same for all upstreams together.
-	busyAll = 0.45
-	// fullFirm is the part of their slots that on-demand upstreams alone may have taken:
-	// above it requests queue there, or are turned away.
-	fullFirm = 0.8
-	// fullAll is the same for all upstreams together.
-	fullAll = 0.55
+	// busyFull is the part of their time for which on-demand upstreams may be busy;
+	// above it first events come late (docs/ROUTING.md). The slack that it leaves is
+	// what one at the full price is worth.
+	busyFull = 0.72
+	// busyShort is the same for the moments in which reclaimable ones were taken away
+	// and those that stand in have not booted.
+	busyShort = 0.9
+	// fullSlots and fullShort are the parts of their slots that may be taken: above,
+	// requests queue at upstreams, or are turned away.
+	fullSlots = 0.8
+	fullShort = 1.0
 	// holdFor is how long a lower count must have been enough before upstreams are
 	// given back: a wave of the load returns sooner than one boots.
 	holdFor = 8 * time.Second
@@ -47,12 +48,15 @@
 	Kind    Kind
 }
 
-// Demand is the load of one service.
+// Demand is the load of one service, and what there is for it.
 type Demand struct {
 	Service *catalog.Service
 	Zones   []string
-	Work    float64 // milliseconds of upstream time asked for per second
-	Running int     // requests under way
+	Work    float64       // milliseconds of upstream time asked for per second
+	Running int           // requests under way
+	Have    map[Place]int // upstreams that take requests
+	Due     map[Place]int // upstreams that were ordered and have not come yet
+	Drought bool          // reclaimable upstreams were asked for of late and not to be had
 }
 
 // peak remembers the highest count that was needed of late.
@@ -63,13 +67,19 @@
 
 // Planner decides on orders. It belongs to one goroutine.
 type Planner struct {
-	firm map[string]*peak
-	all  map[string]*peak
+	peaks map[need]*peak
+	firm  map[string]int // on-demand upstreams planned last, by service
+}
+
+// need is one of the counts that a service has to have.
+type need struct {
+	service string
+	of      string
 }
 
 // NewPlanner returns a planner that remembers nothing.
 func NewPlanner() *Planner {
-	return &Planner{firm: make(map[string]*peak), all: make(map[string]*peak)}
+	return &Planner{peaks: make(map[need]*peak), firm: make(map[string]int)}
 }
 
 // Plan returns how many upstreams of each kind a service should have in each
@@ -80,36 +90,86 @@
 		return nil
 	}
 	zones := byPrice(d.Zones, s.ZonePrices)
-	most := s.Max * len(zones)
-	firm := hold(p.firm, d.Service.Name, max(count(d.Work, busyFirm), d.filled(fullFirm)), now)
-	all := hold(p.all, d.Service.Name, max(count(d.Work, busyAll), d.filled(fullAll)), now)
-	firm = min(max(firm, s.Min*len(zones)), most)
+	least, most := s.Min*len(zones), s.Max*len(zones)
+	enough := p.hold(need{d.Service.Name, "enough"}, d.count(busyFull, fullSlots), now)
+	enough = min(max(enough, least), most)
+	plan := make(map[Place]int)
 	if s.ReclaimPrice <= 0 || s.ReclaimPrice >= 1 {
-		all = firm
+		spread(plan, d.Service.Name, Firm, zones, enough, s.Max)
+		spread(plan, d.Service.Name, Reclaimable, zones, 0, s.Max)
+		return plan
 	}
-	plan := make(map[Place]int)
-	spread(plan, d.Service.Name, Firm, zones, firm, s.Max)
-	spread(plan, d.Service.Name, Reclaimable, zones, max(min(all, most)-firm, 0), s.Max)
+	ample := p.hold(need{d.Service.Name, "ample"}, d.count(cheapPart(busyFull, s.ReclaimPrice), cheapPart(fullSlots, s.ReclaimPrice)), now)
+	short := p.hold(need{d.Service.Name, "short"}, d.count(busyShort, fullShort), now)
+	spread(plan, d.Service.Name, Reclaimable, zones, min(max(ample, least), most), s.Max)
+	if d.Drought {
+		short = enough // what is taken now does not come back soon
+	}
+	firm := max(p.standIn(d, enough, zones), short-d.leftByReclaim(plan, zones))
+	spread(plan, d.Service.Name, Firm, zones, min(firm, most), s.Max)
 	return plan
 }
 
-// count returns how many upstreams are busy for the given part of their time.
-func count(work, busy float64) int { return int(math.Ceil(work / 1000 / busy)) }
+// cheapPart returns the part of their time or slots that upstreams at a part of the
+// full price may have taken. Waiting falls with the square of the slack, so the slack
+// that pays grows with the square root of how much cheaper they are.
+func cheapPart(full, price float64) float64 {
+	slack := (1 - full) / full
+	return 1 / (1 + slack/math.Sqrt(price))
+}
+
+// standIn returns how many on-demand upstreams make up for reclaimable ones that are
+// missing. They are given back once those are there, not when they are ordered.
+func (p *Planner) standIn(d Demand, enough int, zones []string) int {
+	there, coming := 0, 0
+	for _, z := range zones {
+		place := Place{d.Service.Name, z, Reclaimable}
+		there += d.Have[place]
+		coming += d.Due[place]
+	}
+	last, known := p.firm[d.Service.Name]
+	if !known {
+		for _, z := range zones {
+			last += d.Have[Place{d.Service.Name, z, Firm}]
+		}
+	}
+	firm := min(max(last, enough-there-coming), max(enough-there, 0))
+	p.firm[d.Service.Name] = firm
+	return firm
+}
+
+// leftByReclaim returns how many reclaimable upstreams stay when the zone that has
+// most of them loses them: of those planned, or in a drought of those that are there.
+func (d Demand) leftByReclaim(plan map[Place]int, zones []string) int {
+	count := plan
+	if d.Drought {
+		count = d.Have
+	}
+	sum, largest := 0, 0
+	for _, z := range zones {
+		n := count[Place{d.Service.Name, z, Reclaimable}]
+		sum += n
+		largest = max(largest, n)
+	}
+	return sum - largest
+}
 
-// filled returns how many upstreams have the given part of their slots taken.
-func (d Demand) filled(part float64) int {
-	if d.Service.Engine == nil || d.Service.Engine.Slots <= 0 {
-		return 0
+// count returns how many upstreams are busy for a part of their time and have a part
+// of their slots taken.
+func (d Demand) count(busy, full float64) int {
+	n := d.Work / 1000 / busy
+	if e := d.Service.Engine; e != nil && e.Slots > 0 {
+		n = max(n, float64(d.Running)/float64(e.Slots)/full)
 	}
-	return int(math.Ceil(float64(d.Running) / float64(d.Service.Engine.Slots) / part))
+	return int(math.Ceil(n))
 }
 
 // hold returns the highest count of late.
-func hold(peaks map[string]*peak, service string, n int, now time.Duration) int {
-	pk := peaks[service]
+func (p *Planner) hold(of need, n int, now time.Duration) int {
+	pk := p.peaks[of]
 	if pk == nil {
 		pk = &peak{}
-		peaks[service] = pk
+		p.peaks[of] = pk
 	}
 	switch {
 	case n >= pk.count:
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -63,6 +63,9 @@
 	// reorderAfter is how long an order may have fewer upstreams than it names
 	// before it is given again: they boot in 4 s.
 	reorderAfter = 7 * time.Second
+	// dryFor is how long a refusal of reclaimable upstreams counts: until the next try
+	// has been answered.
+	dryFor = refusedGap + time.Second
 	// closedFor is how long nothing is ordered where the cloud rejects orders: a new
 	// configuration may open the zone.
 	closedFor = time.Minute
@@ -95,6 +98,14 @@
 	Order(ctx context.Context, f Fence, p capacity.Place, count int) error
 }
 
+// Orders tells what became of the orders of this holder.
+type Orders interface {
+	// Due returns how many upstreams were ordered and have not come yet.
+	Due(have map[capacity.Place]int) map[capacity.Place]int
+	// Drought tells whether reclaimable upstreams of a service were refused of late.
+	Drought(service string) bool
+}
+
 // Fence names the holder of the duty in a call.
 type Fence struct {
 	Holder string
@@ -138,9 +149,10 @@
 	Complete func() bool
 	// EpochMS returns the epoch to propose: the median over the daemons in touch.
 	EpochMS func() int64
-	// Plan returns how many upstreams there should be, where upstreams of a service
-	// can be ordered in a zone; Have returns how many there are.
-	Plan func(open func(service, zone string) bool) map[capacity.Place]int
+	// Plan returns how many upstreams there should be, by how many there are and what
+	// became of orders, where upstreams of a service can be ordered in a zone; Have
+	// returns how many there are.
+	Plan func(open func(service, zone string) bool, have map[capacity.Place]int, o Orders) map[capacity.Place]int
 	Have func() map[capacity.Place]int
 	// Reports tells whether usage is to be reported.
 	Reports bool
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -1,7 +1,10 @@
 package duty
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,24 +16,63 @@
 // orders remembers what was ordered under one token.
 type orders struct {
 	placed map[capacity.Place]int
+	seen   map[capacity.Place]int           // the most that there have been since the order
 	at     map[capacity.Place]time.Duration // boot time of the order
 	next   map[capacity.Place]time.Duration // boot time before which it is not tried again
+	dry    map[string]time.Duration         // boot time until which a service's reclaimable ones count as not to be had
 }
 
 func newOrders() *orders {
 	return &orders{
 		placed: make(map[capacity.Place]int),
+		seen:   make(map[capacity.Place]int),
 		at:     make(map[capacity.Place]time.Duration),
 		next:   make(map[capacity.Place]time.Duration),
+		dry:    make(map[string]time.Duration),
 	}
 }
 
+// look notes how many upstreams there are.
+func (o *orders) look(have map[capacity.Place]int) {
+	for p := range o.placed {
+		o.seen[p] = max(o.seen[p], have[p])
+	}
+}
+
+// due returns how many upstreams of an order have not come yet. Where some have come
+// and are gone again, the order does not bring them back.
+func (o *orders) due(p capacity.Place, have int, now time.Duration) int {
+	placed, ok := o.placed[p]
+	if !ok || have < o.seen[p] || now-o.at[p] >= reorderAfter {
+		return 0
+	}
+	return max(placed-have, 0)
+}
+
 // stands tells whether an order was given and has been followed, or may still be.
 func (o *orders) stands(p capacity.Place, count, have int, now time.Duration) bool {
 	placed, ok := o.placed[p]
-	return ok && placed == count && (have >= count || now-o.at[p] < reorderAfter)
+	return ok && placed == count && have+o.due(p, have, now) >= count
 }
 
+// given notes that an order was taken.
+func (o *orders) given(p capacity.Place, count, have int, now time.Duration) {
+	o.placed[p], o.seen[p], o.at[p] = count, have, now
+}
+
+// Due returns how many upstreams were ordered and have not come yet.
+func (o *orders) Due(have map[capacity.Place]int) map[capacity.Place]int {
+	now := boottime.Now()
+	due := make(map[capacity.Place]int, len(o.placed))
+	for p := range o.placed {
+		due[p] = o.due(p, have[p], now)
+	}
+	return due
+}
+
+// Drought tells whether reclaimable upstreams of a service were refused of late.
+func (o *orders) Drought(service string) bool { return boottime.Now() < o.dry[service] }
+
 // site is a service in a zone.
 type site struct{ service, zone string }
 
@@ -41,35 +83,65 @@
 
 // order brings the numbers of upstreams to what the plan says.
 func (d *Duty) order(ctx context.Context) {
-	plan := d.Plan(d.open)
-	if len(plan) == 0 {
-		return
-	}
 	have := d.Have()
-	for place, count := range plan {
-		now := boottime.Now()
-		if d.orders.stands(place, count, have[place], now) || now < d.orders.next[place] || !d.open(place.Service, place.Zone) {
-			continue
-		}
-		f, ok := d.fence()
-		if !ok {
+	d.orders.look(have)
+	plan := d.Plan(d.open, have, d.orders)
+	for _, place := range sequence(plan, have) {
+		if !d.orderOne(ctx, place, plan[place], have[place]) {
 			return
 		}
-		err := d.call(ctx, func(ctx context.Context) error { return d.Cloud.Order(ctx, f, place, count) })
-		d.Log.Info("upstreams ordered", "service", place.Service, "zone", place.Zone, "reclaimable", bool(place.Kind),
-			"count", count, "have", have[place], "token", f.Token, "error", err)
-		switch {
-		case err == nil:
-			d.orders.placed[place], d.orders.at[place] = count, now
-		case errors.Is(err, ErrFenced):
-			delete(d.orders.placed, place)
-			d.orders.next[place] = now + refusedGap
-		case errors.Is(err, ErrRejected):
-			d.closed[site{place.Service, place.Zone}] = now + closedFor
-		default:
-			delete(d.orders.placed, place)
-			d.orders.next[place] = now + callGap
-			return
+	}
+}
+
+// sequence returns the places of a plan: those that get more first, since what is cut
+// has its substitute there, and reclaimable ones before those that stand in for them.
+func sequence(plan, have map[capacity.Place]int) []capacity.Place {
+	list := slices.Collect(maps.Keys(plan))
+	rank := func(p capacity.Place) int {
+		n := 0
+		if plan[p] < have[p] {
+			n += 2
+		}
+		if p.Kind == capacity.Firm {
+			n++
+		}
+		return n
+	}
+	slices.SortFunc(list, func(a, b capacity.Place) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+	})
+	return list
+}
+
+// orderOne orders upstreams of one place where that is due. It returns false where no
+// more calls are to be made now.
+func (d *Duty) orderOne(ctx context.Context, place capacity.Place, count, have int) bool {
+	now := boottime.Now()
+	if d.orders.stands(place, count, have, now) || now < d.orders.next[place] || !d.open(place.Service, place.Zone) {
+		return true
+	}
+	f, ok := d.fence()
+	if !ok {
+		return false
+	}
+	err := d.call(ctx, func(ctx context.Context) error { return d.Cloud.Order(ctx, f, place, count) })
+	d.Log.Info("upstreams ordered", "service", place.Service, "zone", place.Zone, "reclaimable", bool(place.Kind),
+		"count", count, "have", have, "token", f.Token, "error", err)
+	switch {
+	case err == nil:
+		d.orders.given(place, count, have, now)
+	case errors.Is(err, ErrFenced):
+		delete(d.orders.placed, place)
+		d.orders.next[place] = now + refusedGap
+		if place.Kind == capacity.Reclaimable {
+			d.orders.dry[place.Service] = now + dryFor
 		}
+	case errors.Is(err, ErrRejected):
+		d.closed[site{place.Service, place.Zone}] = now + closedFor
+	default:
+		delete(d.orders.placed, place)
+		d.orders.next[place] = now + callGap
+		return false
 	}
+	return true
 }
--- a/internal/node/fleetduty.go
+++ b/internal/node/fleetduty.go
@@ -35,7 +35,7 @@
 		},
 		EpochMS: n.epochMS,
 		Have:    n.fleet.have,
-		Plan: func(open func(service, zone string) bool) map[capacity.Place]int {
+		Plan: func(open func(service, zone string) bool, have map[capacity.Place]int, o duty.Orders) map[capacity.Place]int {
 			now := boottime.Now()
 			if !n.OrdersUpstreams || n.proxy.Catalog() == nil {
 				return nil
@@ -47,11 +47,12 @@
 			if since == 0 || now-since < planAfter {
 				return nil
 			}
-			plan := make(map[capacity.Place]int)
+			plan, due := make(map[capacity.Place]int), o.Due(have)
 			for name, s := range n.proxy.Catalog().Services {
 				closed := func(zone string) bool { return !open(name, zone) }
 				zones := slices.DeleteFunc(n.serviceZones(name), closed)
-				d := capacity.Demand{Service: s, Zones: zones, Work: work[name], Running: n.placer.Running(name)}
+				d := capacity.Demand{Service: s, Zones: zones, Work: work[name], Running: n.placer.Running(name),
+					Have: have, Due: due, Drought: o.Drought(name)}
 				for p, count := range planner.Plan(d, now) {
 					plan[p] = count
 				}
