Requests that would wait too long at their upstream are turned away at once

The proxy knew the wait and sent the request all the same.

Change: internal/admission decides by the wait before the best upstream would begin, against the strictest target of the service: 0.8 of it for the most urgent route, less for others. The answer is 503, not run, with the time after which there is room.

What it is worth is what a reclaim overloads; where nothing does, nothing is turned away (TestUsualLoadIsNeverTurnedAway). Tests: a replay of 1.5 and 2 times what an engine reads, with and without the limit (TestABoundedQueueServesOnTime), TestHopelessQueueIsTurnedAway over sockets.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -89,6 +89,10 @@
 	MaxConns int      // connections that an upstream accepts from all daemons
 	Engine   *Engine  // nil for a plain service
 	Scaling  *Scaling // nil where none are ordered
+
+	// Of the routes to it:
+	Strictest time.Duration // the shortest target; 0 for none
+	Topmost   int           // the highest priority, which is the lowest number
 }
 
 // Customer is one who sends requests.
@@ -156,12 +160,35 @@
 
 // Build returns the configuration. The builder must not be used after it.
 func (b *Builder) Build() *Config {
+	b.summarize()
 	for _, list := range b.c.routes {
 		slices.SortStableFunc(list, func(x, y *Route) int { return cmp.Compare(len(y.Prefix), len(x.Prefix)) })
 	}
 	return b.c
 }
 
+// summarize notes at each service what its routes ask of it.
+func (b *Builder) summarize() {
+	routed := make(map[*Service]bool)
+	for _, list := range b.c.routes {
+		for _, r := range list {
+			for _, t := range r.Targets {
+				s := b.c.Services[t.Service]
+				if s == nil {
+					continue
+				}
+				if r.Target > 0 && (s.Strictest == 0 || r.Target < s.Strictest) {
+					s.Strictest = r.Target
+				}
+				if !routed[s] || r.Priority < s.Topmost {
+					s.Topmost = r.Priority
+				}
+				routed[s] = true
+			}
+		}
+	}
+}
+
 // Route returns the route of a request, or nil. The port of host, if any, is
 // ignored.
 func (c *Config) Route(host, path string) *Route {
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lagoonmux/lagoonmux/internal/admission"
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
 	"github.com/lagoonmux/lagoonmux/internal/catalog"
 	"github.com/lagoonmux/lagoonmux/internal/egress"
@@ -48,6 +49,7 @@
 	cost     float64
 	charged  bool
 	deadline time.Time
+	priority int // 0 is the highest
 	urgency  int
 	exclude  map[string]bool
 	sends    int // upstreams to which the request was sent
@@ -120,7 +122,7 @@
 			priority = t.customer.Priority
 		}
 	}
-	t.urgency = min(topUrgency+priority, bottomUrgency)
+	t.priority, t.urgency = priority, min(topUrgency+priority, bottomUrgency)
 	name := t.route.Service(t.req.ID)
 	if t.service = c.Services[name]; t.service == nil {
 		return &refusal{fasthttp.StatusServiceUnavailable, noneRetry, "service " + name + " is not declared"}
@@ -222,6 +224,12 @@
 			return
 		}
 		t.record.note(choice)
+		if r := t.turnAway(choice, try); r != nil {
+			t.Placer.Done(choice, place.Withdrawn, false, boottime.Now())
+			t.record.End = unplaced
+			t.refuse(*r)
+			return
+		}
 		t.record.Resumed = t.record.Resumed || t.out.begun
 		a := &attempt{task: t, choice: choice, began: time.Now()}
 		end, err := a.run(ctx)
@@ -238,6 +246,19 @@
 	}
 }
 
+// turnAway refuses a request that nothing was done for yet if it would wait too long.
+func (t *task) turnAway(c place.Choice, try int) *refusal {
+	if try > 0 {
+		return nil
+	}
+	d := admission.Decide(admission.Request{Wait: c.Wait, Target: t.service.Strictest, Rank: t.priority - t.service.Topmost})
+	if d.OK {
+		return nil
+	}
+	reason := fmt.Sprintf("would wait for %v, limit %v", c.Wait.Round(time.Millisecond), d.Limit)
+	return &refusal{fasthttp.StatusServiceUnavailable, d.Retry, reason}
+}
+
 // skip keeps an upstream from being chosen again.
 func (t *task) skip(id string) {
 	if t.exclude == nil {
--- a/internal/routing/place/place.go
+++ b/internal/routing/place/place.go
@@ -104,6 +104,7 @@
 type Choice struct {
 	Upstream *roster.Upstream
 	Expected time.Duration // until the first event or the answer
+	Wait     time.Duration // the part of it until the upstream begins with the request
 	Missing  int           // prompt tokens that the upstream has to read
 	Usable   int           // upstreams among which it was chosen
 	Home     bool          // the shared parts of the prompt are at home there
@@ -253,11 +254,13 @@
 		reread -= k.trust * again
 		blur = 0 // all daemons are to choose it, and the next ones will find the part there
 	}
-	c := Choice{Upstream: u, Expected: time.Duration(expected * float64(time.Millisecond)), Missing: missing, Home: u == k.home,
-		Ahead: load.Backlog, Running: load.Running}
+	c := Choice{Upstream: u, Expected: milliseconds(expected), Wait: milliseconds(s.queue(load, q, p.works[q.Service], line)),
+		Missing: missing, Home: u == k.home, Ahead: load.Backlog, Running: load.Running}
 	return c, (expected + s.penalty(load, now, p.zone) + reread) * (1 + blur)
 }
 
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // opens returns how long it is until the first of the upstreams ends its pause, 0 if
 // none pauses. The caller holds mu.
 func (p *Placer) opens(list []*roster.Upstream, q Query, now time.Duration) time.Duration {
@@ -345,13 +348,25 @@
 // expected returns the milliseconds until the first event or the answer.
 // usual is the time of a plain request of the service.
 func (s *state) expected(l Load, missing int, q Query, usual float64, line *pace) float64 {
-	if len(q.Prompt) == 0 && q.Tokens == 0 {
-		queued := math.Max(float64(l.Running+1)/float64(max(s.up.Slots, 1)), 1)
-		return cmp.Or(s.work, usual, plainWork) * queued
+	queue := s.queue(l, q, usual, line)
+	if q.plain() {
+		return queue + cmp.Or(s.work, usual, plainWork)
 	}
-	return line.base() + (float64(l.Backlog+missing)*line.perToken()+runningCost*float64(l.Running))*s.speed
+	return line.base() + queue + (float64(missing)*line.perToken()+runningCost*float64(l.Running))*s.speed
 }
 
+// queue returns the milliseconds until the upstream begins with a request.
+func (s *state) queue(l Load, q Query, usual float64, line *pace) float64 {
+	if q.plain() {
+		turns := math.Max(float64(l.Running+1)/float64(max(s.up.Slots, 1)), 1)
+		return cmp.Or(s.work, usual, plainWork) * (turns - 1)
+	}
+	return float64(l.Backlog) * line.perToken() * s.speed
+}
+
+// plain tells whether the request brings no prompt.
+func (q Query) plain() bool { return len(q.Prompt) == 0 && q.Tokens == 0 }
+
 // penalty returns the milliseconds added for what speaks against an upstream.
 func (s *state) penalty(l Load, now time.Duration, zone string) float64 {
 	sum := 0.0
