A new holder of the duty plans at once, and keeps what the one before had ordered

A new holder also forgot the crest of the wave and gave upstreams back.

Change: the time counts from the first request that this daemon has seen; a planner that remembers nothing takes the reclaimable upstreams that are there as its last crest.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -99,6 +99,7 @@
 		spread(plan, d.Service.Name, Reclaimable, zones, 0, s.Max)
 		return plan
 	}
+	p.remember(d, now)
 	ample := p.hold(need{d.Service.Name, "ample"}, d.count(cheapPart(busyFull, s.ReclaimPrice), cheapPart(fullSlots, s.ReclaimPrice)), now)
 	short := p.hold(need{d.Service.Name, "short"}, d.count(busyShort, fullShort), now)
 	spread(plan, d.Service.Name, Reclaimable, zones, min(max(ample, least), most), s.Max)
@@ -164,6 +165,22 @@
 	return int(math.Ceil(n))
 }
 
+// remember takes the reclaimable upstreams that an earlier holder of the duty ordered for
+// what it had seen.
+func (p *Planner) remember(d Demand, now time.Duration) {
+	of := need{d.Service.Name, "ample"}
+	if p.peaks[of] != nil {
+		return
+	}
+	n := 0
+	for place, have := range d.Have {
+		if place.Service == d.Service.Name && place.Kind == Reclaimable {
+			n += have
+		}
+	}
+	p.peaks[of] = &peak{n, now}
+}
+
 // hold returns the highest count of late.
 func (p *Planner) hold(of need, n int, now time.Duration) int {
 	pk := p.peaks[of]
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -158,6 +158,14 @@
 	assert.Equal(t, sum(p.Plan(demand(5000), now), Reclaimable), high, "at once")
 }
 
+// TestANewHolderKeepsWhatIsThere replays a change of the holder in the trough of a wave.
+func TestANewHolderKeepsWhatIsThere(t *testing.T) {
+	d := demand(5000)
+	high := steady(NewPlanner(), d, time.Hour)
+	d.Work, d.Have = 2000, high
+	assert.Equal(t, sum(NewPlanner().Plan(d, time.Hour), Reclaimable), sum(high, Reclaimable))
+}
+
 func TestNoReclaimableWhereThereAreNone(t *testing.T) {
 	d := demand(3000)
 	d.Service.Scaling.ReclaimPrice = 0
--- a/internal/node/fleetduty.go
+++ b/internal/node/fleetduty.go
@@ -17,7 +17,6 @@
 // newDuty makes the daemon compete for the fleet duty.
 func (n *Node) newDuty() {
 	planner := capacity.NewPlanner()
-	var since time.Duration // boot time of the first load
 	n.duty = duty.New(duty.Config{
 		Name:     n.Name,
 		Born:     n.born,
@@ -41,10 +40,7 @@
 				return nil
 			}
 			work := n.totalWork(now)
-			if since == 0 && len(work) > 0 {
-				since = now
-			}
-			if since == 0 || now-since < planAfter {
+			if first := n.work.First(); first == 0 || now-first < planAfter {
 				return nil
 			}
 			plan, due := make(map[capacity.Place]int), o.Due(have)
--- a/internal/proxy/work.go
+++ b/internal/proxy/work.go
@@ -23,6 +23,14 @@
 type Work struct {
 	mu       sync.Mutex
 	services map[string]*rate
+	first    time.Duration // boot time of the first request; 0 for none
+}
+
+// First returns the boot time of the first request, 0 if there was none.
+func (w *Work) First() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.first
 }
 
 // rate is a decayed rate.
@@ -47,6 +55,9 @@
 func (w *Work) Add(service string, missing, output int, pace float64, now time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.first == 0 {
+		w.first = now
+	}
 	r := w.services[service]
 	if r == nil {
 		r = &rate{at: now, since: now}
--- a/internal/proxy/work_test.go
+++ b/internal/proxy/work_test.go
@@ -27,3 +27,13 @@
 	got = w.Rates(now)["s"]
 	assert.Assert(t, math.Abs(got-1000) < 50, "%v ms a second, want 1000", got)
 }
+
+// TestLoadIsKnownSinceTheFirstRequest checks that whoever takes over a duty knows for how
+// long it has seen the load.
+func TestLoadIsKnownSinceTheFirstRequest(t *testing.T) {
+	w := NewWork()
+	assert.Equal(t, w.First(), time.Duration(0))
+	w.Add("s", 100, 0, 1, time.Hour)
+	w.Add("r", 100, 0, 1, time.Hour+time.Second)
+	assert.Equal(t, w.First(), time.Hour)
+}
