--- /dev/null
+++ b/cmd/lagoonstand/losses.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/lagoonmux/lagoonmux/internal/logline"
+	"github.com/lagoonmux/lagoonmux/internal/losses"
+)
+
+// site is what a site file of the users' bench says of kinds of requests.
+type site struct {
+	Classes []struct {
+		Name      string  `toml:"name"`
+		Worth     float64 `toml:"worth"`
+		LateWorth float64 `toml:"late_worth"`
+	} `toml:"classes"`
+}
+
+func lossesCommand(app *kingpin.Application) command {
+	c := app.Command("losses", "Print where the worth of a played day went, as tables that add up.")
+	report := c.Flag("report", "Report of the day (run --report of the users' bench).").Required().ExistingFile()
+	siteFile := c.Flag("site", "Site file, for the worth of each kind of request; all count alike without it.").ExistingFile()
+	logs := c.Flag("log", "File with the daemons' logs of the day, for the reasons; may be repeated.").ExistingFiles()
+	return command{clause: c, run: func(context.Context) error {
+		r, err := readReport(*report)
+		if err != nil {
+			return err
+		}
+		credits, err := readCredits(*siteFile)
+		if err != nil {
+			return err
+		}
+		printRows(os.Stdout, r, credits)
+		if len(*logs) == 0 {
+			return nil
+		}
+		lines, err := logline.Read(*logs)
+		if err != nil {
+			return err
+		}
+		zero, ok := firstRequest(lines)
+		if !ok {
+			return errors.New("logs hold no request")
+		}
+		printCauses(os.Stdout, losses.Causes(lines, zero))
+		printUnservable(os.Stdout, losses.Unservable(lines))
+		return nil
+	}}
+}
+
+func readReport(name string) (*losses.Report, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "read report")
+	}
+	defer f.Close()
+	r, err := losses.ReadReport(f)
+	return r, errors.Wrapf(err, "read report %s", name)
+}
+
+func readCredits(name string) (map[string]losses.Credit, error) {
+	credits := make(map[string]losses.Credit)
+	if name == "" {
+		return credits, nil
+	}
+	var s site
+	if _, err := toml.DecodeFile(name, &s); err != nil {
+		return nil, errors.Wrapf(err, "read site file %s", name)
+	}
+	for _, c := range s.Classes {
+		credits[c.Name] = losses.Credit{InTime: c.Worth, Late: c.LateWorth}
+	}
+	return credits, nil
+}
+
+// firstRequest returns the start of traffic, as the logs know it.
+func firstRequest(lines []logline.Line) (time.Time, bool) {
+	for _, l := range lines {
+		if l.Event == "request" {
+			return l.At, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func printRows(w io.Writer, r *losses.Report, credits map[string]losses.Credit) {
+	sum := 0.0
+	_, _ = fmt.Fprintf(w, "| where | what | lost | of |\n| --- | --- | --- | --- |\n")
+	for _, row := range r.Rows(credits) {
+		sum += row.Lost
+		_, _ = fmt.Fprintf(w, "| %s | %s | %.4f | %.0f |\n", row.Where, row.What, row.Lost, row.Count)
+	}
+	_, _ = fmt.Fprintf(w, "| all | | %.4f | worth %.4f |\n", sum, r.Worth)
+}
+
+func printCauses(w io.Writer, list []losses.Cause) {
+	_, _ = fmt.Fprintf(w, "\n| kind | reason in the daemons' logs | requests | most, by second of traffic |\n| --- | --- | --- | --- |\n")
+	for _, c := range list {
+		_, _ = fmt.Fprintf(w, "| %s | %s | %d | %s |\n", c.Kind, c.Reason, c.Count, c.Worst)
+	}
+}
+
+func printUnservable(w io.Writer, list []losses.Lost) {
+	_, _ = fmt.Fprintf(w, "\n| nobody could have served | requests |\n| --- | --- |\n")
+	for _, l := range list {
+		_, _ = fmt.Fprintf(w, "| %s | %d |\n", l.What, l.Count)
+	}
+}
--- a/cmd/lagoonstand/main.go
+++ b/cmd/lagoonstand/main.go
@@ -33,6 +33,7 @@
 		faultCommand(app),
 		reclaimCommand(app),
 		waitCommand(app),
+		lossesCommand(app),
 		benchUpstreamCommand(app),
 		benchEntryCommand(app),
 		benchDecisionsCommand(app),
