Switches for trials: each mechanism of admission, placing, repeating and planning can be off

In one place, read at the start from the environment, off the settings that operators see; a daemon that runs without a mechanism says so in its log. No behaviour changes while nothing is switched off.

--- a/cmd/lagoonmux/main.go
+++ b/cmd/lagoonmux/main.go
@@ -11,8 +11,10 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/lagoonmux/lagoonmux/internal/ablation"
 	"github.com/lagoonmux/lagoonmux/internal/daemon"
 	"github.com/lagoonmux/lagoonmux/internal/obs"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
@@ -92,7 +94,7 @@
 	defer stop()
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	err := platform.Run(ctx, reload, log)
+	err := runWith(ctx, reload, log)
 	if err != nil {
 		log.Error("daemon failed", "error", err)
 	}
@@ -103,6 +105,18 @@
 	}
 }
 
+// runWith runs the daemon, less what a trial has switched off.
+func runWith(ctx context.Context, reload <-chan os.Signal, log hclog.Logger) error {
+	without, err := ablation.Load()
+	if err != nil {
+		return err
+	}
+	if len(without) > 0 {
+		log.Warn("mechanisms are switched off for a trial", "without", fmt.Sprint(without))
+	}
+	return platform.Run(ctx, reload, log)
+}
+
 // exitCode tells violated settings from other failures.
 func exitCode(err error) int {
 	var se *platform.SettingsError
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/lagoonmux/lagoonmux/internal/ablation"
 	"github.com/lagoonmux/lagoonmux/internal/catalog"
 )
 
@@ -103,10 +104,16 @@
 	ample := p.hold(need{d.Service.Name, "ample"}, d.count(cheapPart(busyFull, s.ReclaimPrice), cheapPart(fullSlots, s.ReclaimPrice)), now)
 	short := p.hold(need{d.Service.Name, "short"}, d.count(busyShort, fullShort), now)
 	spread(plan, d.Service.Name, Reclaimable, zones, min(max(ample, least), most), s.Max)
-	if d.Drought {
+	if d.Drought && !ablation.Without(ablation.DroughtCover) {
 		short = enough // what is taken now does not come back soon
 	}
-	firm := max(p.standIn(d, enough, zones), short-d.leftByReclaim(plan, zones))
+	firm := p.standIn(d, enough, zones)
+	if ablation.Without(ablation.StandIn) {
+		firm = enough
+	}
+	if !ablation.Without(ablation.ZoneCover) {
+		firm = max(firm, short-d.leftByReclaim(plan, zones))
+	}
 	spread(plan, d.Service.Name, Firm, zones, min(firm, most), s.Max)
 	return plan
 }
@@ -115,6 +122,9 @@
 // full price may have taken. Waiting falls with the square of the slack, so the slack
 // that pays grows with the square root of how much cheaper they are.
 func cheapPart(full, price float64) float64 {
+	if ablation.Without(ablation.CheapSlack) {
+		return full
+	}
 	slack := (1 - full) / full
 	return 1 / (1 + slack/math.Sqrt(price))
 }
@@ -143,7 +153,7 @@
 // most of them loses them: of those planned, or in a drought of those that are there.
 func (d Demand) leftByReclaim(plan map[Place]int, zones []string) int {
 	count := plan
-	if d.Drought {
+	if d.Drought && !ablation.Without(ablation.DroughtCover) {
 		count = d.Have
 	}
 	sum, largest := 0, 0
@@ -189,7 +199,7 @@
 		p.peaks[of] = pk
 	}
 	switch {
-	case n >= pk.count:
+	case n >= pk.count || ablation.Without(ablation.Crests):
 		pk.count, pk.at = n, now
 	case now-pk.at > holdFor:
 		pk.count, pk.at = pk.count-1, now-holdFor+time.Second // give back one a second
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lagoonmux/lagoonmux/internal/ablation"
 	"github.com/lagoonmux/lagoonmux/internal/admission"
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
 	"github.com/lagoonmux/lagoonmux/internal/catalog"
@@ -248,7 +249,7 @@
 
 // turnAway refuses a request that nothing was done for yet if it would wait too long.
 func (t *task) turnAway(c place.Choice, try int) *refusal {
-	if try > 0 {
+	if try > 0 || ablation.Without(ablation.TurnAway) {
 		return nil
 	}
 	d := admission.Decide(admission.Request{Wait: c.Wait, Target: t.service.Strictest, Rank: t.priority - t.service.Topmost})
@@ -272,6 +273,9 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if ablation.Without(ablation.Repeats) && (e == lost || e == broken) {
+		return false
+	}
 	switch e {
 	case unsent:
 		return true // nothing has left
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -16,6 +16,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/ablation"
 )
 
 const (
@@ -261,7 +263,7 @@
 // others know of it; usable is what the bucket would hold for all without that.
 func (b *bucket) mayTake(cost, usable, share float64) float64 {
 	part := overcommit * share
-	if cost <= smallPart*b.mean {
+	if cost <= smallPart*b.mean && !ablation.Without(ablation.SmallRequests) {
 		part *= smallAhead
 	} else {
 		usable -= smallReserve * b.limit.Burst
--- a/internal/routing/place/pace.go
+++ b/internal/routing/place/pace.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"github.com/lagoonmux/lagoonmux/internal/ablation"
+)
 
 const (
 	// readRate is the prompt tokens that an engine is taken to read in a millisecond
@@ -86,7 +90,7 @@
 	line := p.pace(s.up.Service)
 	tokens := float64(c.Ahead + c.Missing)
 	usual := line.base() + tokens*line.perToken()*s.speed
-	if c.Missing >= measuredTokens {
+	if c.Missing >= measuredTokens && !ablation.Without(ablation.Speeds) {
 		ratio := (ms - line.base()) / max((usual-line.base())/s.speed, 1)
 		ratio = min(max(ratio, minSpeed), maxSpeed)
 		s.speed += speedWeight * (ratio - s.speed)
--- a/internal/routing/place/place.go
+++ b/internal/routing/place/place.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lagoonmux/lagoonmux/internal/ablation"
 	"github.com/lagoonmux/lagoonmux/internal/roster"
 )
 
@@ -106,6 +107,7 @@
 	Expected time.Duration // until the first event or the answer
 	Wait     time.Duration // the part of it until the upstream begins with the request
 	Missing  int           // prompt tokens that the upstream has to read
+	Shared   int           // those of them that belong to parts which requests share
 	Usable   int           // upstreams among which it was chosen
 	Home     bool          // the shared parts of the prompt are at home there
 	Ahead    int           // tokens that were to be read there before it, as far as known
@@ -248,14 +250,21 @@
 	s := p.states[u.Key()]
 	missing, load := s.missing(q, k, now), s.total(now)
 	expected := s.expected(load, missing, q, p.works[q.Service], line)
-	again := line.perToken() * float64(shared(q, missing))
+	shared := shared(q, missing)
+	again := line.perToken() * float64(shared)
 	reread, blur := rereadPart*again, noise*rand.Float64()
+	if ablation.Without(ablation.RereadPrice) {
+		reread = 0
+	}
+	if ablation.Without(ablation.Blur) {
+		blur = 0
+	}
 	if u == k.home {
 		reread -= k.trust * again
 		blur = 0 // all daemons are to choose it, and the next ones will find the part there
 	}
 	c := Choice{Upstream: u, Expected: milliseconds(expected), Wait: milliseconds(s.queue(load, q, p.works[q.Service], line)),
-		Missing: missing, Home: u == k.home, Ahead: load.Backlog, Running: load.Running}
+		Missing: missing, Shared: shared, Home: u == k.home, Ahead: load.Backlog, Running: load.Running}
 	return c, (expected + s.penalty(load, now, p.zone) + reread) * (1 + blur)
 }
 
@@ -291,10 +300,10 @@
 		k.trust = homeTrust
 	}
 	shared := len(q.Prompt) - 1
-	for k.popular < shared-1 && p.popular(q.Prompt[k.popular].ID, upstreams, now) {
+	for k.popular < shared-1 && !ablation.Without(ablation.PopularParts) && p.popular(q.Prompt[k.popular].ID, upstreams, now) {
 		k.popular++
 	}
-	if shared > k.popular {
+	if shared > k.popular && !ablation.Without(ablation.Homes) {
 		var list [homes]*roster.Upstream
 		if at := p.ring(q.Service).homes(q.Prompt[shared-1].ID, list[:0]); len(at) > 0 {
 			k.home = at[0]
@@ -318,6 +327,9 @@
 		return q.Tokens
 	}
 	all := s.cache.missing(q.Prompt, k.popular, now)
+	if ablation.Without(ablation.KeptParts) {
+		all = newCache().missing(q.Prompt, 0, now)
+	}
 	if s.up == k.home && s.trusted(now) {
 		all -= int(k.trust * float64(shared(q, all)))
 	}
@@ -339,6 +351,9 @@
 // total returns what all daemons have under way at an upstream, as far as known.
 func (s *state) total(now time.Duration) Load {
 	sum := s.own.plus(s.others)
+	if ablation.Without(ablation.OthersLoad) {
+		sum = s.own
+	}
 	if now-s.reported < reportFor {
 		sum.Running = max(sum.Running, s.report.Running+s.report.Waiting)
 	}
@@ -370,16 +385,20 @@
 // penalty returns the milliseconds added for what speaks against an upstream.
 func (s *state) penalty(l Load, now time.Duration, zone string) float64 {
 	sum := 0.0
-	if s.up.Zone != zone {
+	if s.up.Zone != zone && !ablation.Without(ablation.OwnZone) {
 		sum += otherZoneCost
 	}
-	if float64(l.Running) >= fullPart*float64(s.up.Slots) {
-		sum += fullCost
+	if !ablation.Without(ablation.Full) {
+		if float64(l.Running) >= fullPart*float64(s.up.Slots) {
+			sum += fullCost
+		}
+		if now < s.fullUntil {
+			sum += fullCost
+		}
 	}
-	if now < s.fullUntil {
-		sum += fullCost
+	if !ablation.Without(ablation.Failures) {
+		sum += failCost * s.failRate(now)
 	}
-	sum += failCost * s.failRate(now)
 	if s.silent(now) {
 		sum += silentCost
 	}
@@ -400,7 +419,7 @@
 
 // silent tells whether requests wait and nothing has come for long.
 func (s *state) silent(now time.Duration) bool {
-	return s.own.Running > 0 && s.waitSince > 0 && now-max(s.waitSince, s.heard) > silentAfter+silentFactor*s.waitFor
+	return !ablation.Without(ablation.Silence) && s.own.Running > 0 && s.waitSince > 0 && now-max(s.waitSince, s.heard) > silentAfter+silentFactor*s.waitFor
 }
 
 // Silent tells whether an upstream has sent nothing for long on any connection
