Work of shared parts read again is believed slowly

Change: tokens that a request brings itself count as before; shared parts to be read are averaged over 20 s and not made up for the time before the first request.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -113,7 +113,8 @@
 		return a.ended(ctx, end), errInvariant
 	}
 	a.sends++
-	a.Work.Add(a.service.Name, a.choice.Missing, a.req.OutputTokens, a.Placer.Pace(a.service.Name), boottime.Now())
+	a.Work.Add(a.service.Name, Asked{Own: a.choice.Missing - a.choice.Shared, Shared: a.choice.Shared,
+		Output: a.req.OutputTokens, Pace: a.Placer.Pace(a.service.Name)}, boottime.Now())
 	e, err := a.exchange(ctx, left)
 	switch e {
 	case done:
--- a/internal/proxy/work.go
+++ b/internal/proxy/work.go
@@ -14,6 +14,10 @@
 	tokenWork = 0.15 // ms
 	// workDecay is the time over which work is averaged.
 	workDecay = 5 * time.Second
+	// againDecay is the same for shared parts that are read again. A daemon that has just
+	// started does not know what upstreams keep, and upstreams that have just come keep
+	// nothing: both pass, and more upstreams would not make it pass sooner.
+	againDecay = 20 * time.Second
 	// minSeen is the least time over which a rate is told.
 	minSeen = 2 * time.Second
 )
@@ -22,7 +26,7 @@
 // called from any goroutine.
 type Work struct {
 	mu       sync.Mutex
-	services map[string]*rate
+	services map[string]*load
 	first    time.Duration // boot time of the first request; 0 for none
 }
 
@@ -33,45 +37,64 @@
 	return w.first
 }
 
+// load is what is asked for of one service.
+type load struct {
+	own   rate          // what requests bring themselves
+	again rate          // shared parts
+	since time.Duration // of the first request
+}
+
+// value returns the rate of all work. What requests bring is made up for the time before
+// the first one.
+func (l *load) value(now time.Duration) float64 {
+	seen := 1 - math.Exp(-max(now-l.since, minSeen).Seconds()/workDecay.Seconds())
+	return l.own.value(now)/seen + l.again.value(now)
+}
+
 // rate is a decayed rate.
 type rate struct {
+	over      time.Duration
 	perSecond float64
 	at        time.Duration
-	since     time.Duration // of the first request
 }
 
-// value returns the rate, made up for the time before the first request.
+func (r *rate) add(amount float64, now time.Duration) {
+	r.perSecond = r.value(now) + amount/r.over.Seconds()
+}
+
 func (r *rate) value(now time.Duration) float64 {
-	r.decay(now)
-	seen := 1 - math.Exp(-max(now-r.since, minSeen).Seconds()/workDecay.Seconds())
-	return r.perSecond / seen
+	if now > r.at {
+		r.perSecond *= math.Exp(-(now - r.at).Seconds() / r.over.Seconds())
+		r.at = now
+	}
+	return r.perSecond
+}
+
+// Asked is what a request that was sent asks of its upstream.
+type Asked struct {
+	Own    int     // prompt tokens that it brings itself
+	Shared int     // prompt tokens of shared parts that are to be read
+	Output int     // tokens at most
+	Pace   float64 // of the engines, as a multiple of the assumed one
 }
 
 // NewWork returns a measure that has seen nothing.
-func NewWork() *Work { return &Work{services: make(map[string]*rate)} }
+func NewWork() *Work { return &Work{services: make(map[string]*load)} }
 
-// Add counts a request that was sent to an engine whose pace is a multiple of the
-// assumed one.
-func (w *Work) Add(service string, missing, output int, pace float64, now time.Duration) {
+// Add counts a request that was sent to an engine.
+func (w *Work) Add(service string, a Asked, now time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.first == 0 {
 		w.first = now
 	}
-	r := w.services[service]
-	if r == nil {
-		r = &rate{at: now, since: now}
-		w.services[service] = r
-	}
-	r.decay(now)
-	r.perSecond += pace * (float64(missing)/readRate + tokenWork*float64(output)) / workDecay.Seconds()
-}
-
-func (r *rate) decay(now time.Duration) {
-	if now > r.at {
-		r.perSecond *= math.Exp(-(now - r.at).Seconds() / workDecay.Seconds())
-		r.at = now
+	l := w.services[service]
+	if l == nil {
+		l = &load{own: rate{over: workDecay, at: now}, again: rate{over: againDecay, at: now}, since: now}
+		w.services[service] = l
 	}
+	l.own.add(a.Pace*(float64(a.Own)/readRate+tokenWork*float64(a.Output)), now)
+	l.again.add(a.Pace*float64(a.Shared)/readRate, now)
 }
 
 // Rates returns the milliseconds of upstream time asked for per second, by
@@ -80,8 +103,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	list := make(map[string]float64, len(w.services))
-	for name, r := range w.services {
-		list[name] = r.value(now)
+	for name, l := range w.services {
+		list[name] = l.value(now)
 	}
 	return list
 }
