Kinds are exchanged before the load is known; boots are awaited for as long as they take

Besides, orders were taken for lost after 7 s whatever a service's boot time (which the configuration tells): a slow boot looked like a drought.

Change: before the load is known, as many reclaimable upstreams as there are on-demand ones are ordered, and these leave once those are there, but for what the reclaim of one zone would take; only once no further upstream has entered itself for 3 s, since an order for those that are known would take away the rest. A holder that finds reclaimable ones plans nothing before the load is known. An order is awaited for the service's boot time and 3 s.

--- a/internal/ablation/ablation.go
+++ b/internal/ablation/ablation.go
@@ -24,6 +24,8 @@
 	Homes         Mechanism = "homes"          // parts of prompts have a home, the same for all daemons
 	PopularParts  Mechanism = "popular-parts"  // much used parts count as kept everywhere
 	RereadPrice   Mechanism = "reread-price"   // reading shared parts again costs more than its time
+	Fetches       Mechanism = "fetches"        // upstreams fetch parts from others that keep them
+	Exchange      Mechanism = "exchange"       // kinds are exchanged before the load is known
 	Speeds        Mechanism = "speeds"         // each upstream's speed is learnt
 	OthersLoad    Mechanism = "others-load"    // what other daemons have under way counts
 	Failures      Mechanism = "failures"       // upstreams that fail are avoided
@@ -40,7 +42,7 @@
 	SmallRequests Mechanism = "small-requests" // small requests of a limited customer go ahead
 )
 
-var all = []Mechanism{TurnAway, KeptParts, Homes, PopularParts, RereadPrice, Speeds, OthersLoad, Failures, Silence, Full,
+var all = []Mechanism{TurnAway, KeptParts, Homes, PopularParts, RereadPrice, Fetches, Exchange, Speeds, OthersLoad, Failures, Silence, Full,
 	OwnZone, Blur, Repeats, CheapSlack, StandIn, ZoneCover, DroughtCover, Crests, SmallRequests}
 
 var off = map[Mechanism]bool{}
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -33,6 +33,10 @@
 	holdFor = 8 * time.Second
 )
 
+// settleFor is how long no further upstream must have entered itself before those of a
+// deployment that begins count as known: each does so once a second or two.
+const settleFor = 3 * time.Second
+
 // Kind tells whether an upstream may be taken away.
 type Kind bool
 
@@ -68,8 +72,9 @@
 
 // Planner decides on orders. It belongs to one goroutine.
 type Planner struct {
-	peaks map[need]*peak
-	firm  map[string]int // on-demand upstreams planned last, by service
+	peaks   map[need]*peak
+	present map[string]*peak // on-demand upstreams of a deployment that begins, by service
+	firm    map[string]int   // on-demand upstreams planned last, by service
 }
 
 // need is one of the counts that a service has to have.
@@ -80,16 +85,19 @@
 
 // NewPlanner returns a planner that remembers nothing.
 func NewPlanner() *Planner {
-	return &Planner{peaks: make(map[need]*peak), firm: make(map[string]int)}
+	return &Planner{peaks: make(map[need]*peak), present: make(map[string]*peak), firm: make(map[string]int)}
 }
 
 // Plan returns how many upstreams of each kind a service should have in each
 // zone, or nil if the load is not known yet.
 func (p *Planner) Plan(d Demand, now time.Duration) map[Place]int {
 	s := d.Service.Scaling
-	if s == nil || d.Work <= 0 || len(d.Zones) == 0 {
+	if s == nil || len(d.Zones) == 0 {
 		return nil
 	}
+	if d.Work <= 0 {
+		return p.exchange(d, now)
+	}
 	zones := byPrice(d.Zones, s.ZonePrices)
 	least, most := s.Min*len(zones), s.Max*len(zones)
 	enough := p.hold(need{d.Service.Name, "enough"}, d.count(busyFull, fullSlots), now)
@@ -118,6 +126,49 @@
 	return plan
 }
 
+// exchange plans for a load that is not known yet, where a deployment begins with
+// on-demand upstreams only: as many reclaimable ones take their place, but for what the
+// reclaim of one zone would take away. It returns nil where somebody has planned before.
+func (p *Planner) exchange(d Demand, now time.Duration) map[Place]int {
+	s, service := d.Service.Scaling, d.Service.Name
+	firm, cheap := d.there(Firm), d.there(Reclaimable)
+	if s.ReclaimPrice <= 0 || s.ReclaimPrice >= 1 || ablation.Without(ablation.Exchange) {
+		return nil
+	}
+	present := p.present[service]
+	if present == nil {
+		if firm == 0 || cheap > 0 {
+			return nil
+		}
+		present = &peak{}
+		p.present[service] = present
+	}
+	if firm > present.count {
+		present.count, present.at = firm, now
+	}
+	if now-present.at < settleFor {
+		return nil
+	}
+	enough := present.count
+	p.hold(need{service, "ample"}, enough, now)
+	zones := byPrice(d.Zones, s.ZonePrices)
+	plan := make(map[Place]int)
+	spread(plan, service, Reclaimable, zones, enough, s.Max)
+	spread(plan, service, Firm, zones, max(p.standIn(d, enough, zones), enough-d.leftByReclaim(plan, zones)), s.Max)
+	return plan
+}
+
+// there counts the upstreams of a kind that take requests.
+func (d Demand) there(k Kind) int {
+	n := 0
+	for place, have := range d.Have {
+		if place.Service == d.Service.Name && place.Kind == k {
+			n += have
+		}
+	}
+	return n
+}
+
 // cheapPart returns the part of their time or slots that upstreams at a part of the
 // full price may have taken. Waiting falls with the square of the slack, so the slack
 // that pays grows with the square root of how much cheaper they are.
@@ -132,17 +183,13 @@
 // standIn returns how many on-demand upstreams make up for reclaimable ones that are
 // missing. They are given back once those are there, not when they are ordered.
 func (p *Planner) standIn(d Demand, enough int, zones []string) int {
-	there, coming := 0, 0
+	there, coming := d.there(Reclaimable), 0
 	for _, z := range zones {
-		place := Place{d.Service.Name, z, Reclaimable}
-		there += d.Have[place]
-		coming += d.Due[place]
+		coming += d.Due[Place{d.Service.Name, z, Reclaimable}]
 	}
 	last, known := p.firm[d.Service.Name]
 	if !known {
-		for _, z := range zones {
-			last += d.Have[Place{d.Service.Name, z, Firm}]
-		}
+		last = d.there(Firm)
 	}
 	firm := min(max(last, enough-there-coming), max(enough-there, 0))
 	p.firm[d.Service.Name] = firm
@@ -182,13 +229,7 @@
 	if p.peaks[of] != nil {
 		return
 	}
-	n := 0
-	for place, have := range d.Have {
-		if place.Service == d.Service.Name && place.Kind == Reclaimable {
-			n += have
-		}
-	}
-	p.peaks[of] = &peak{n, now}
+	p.peaks[of] = &peak{d.there(Reclaimable), now}
 }
 
 // hold returns the highest count of late.
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -135,6 +135,42 @@
 	assert.Equal(t, plan[Place{"s", "c", Firm}], 1)
 }
 
+// TestExchangeBeforeTheLoadIsKnown replays the start of a deployment of on-demand
+// upstreams: reclaimable ones take their place, and the on-demand ones leave once these
+// are there, but for what one zone's reclaim would take.
+func TestExchangeBeforeTheLoadIsKnown(t *testing.T) {
+	p, d, now := NewPlanner(), demand(0), time.Hour
+	d.Have = map[Place]int{{"s", "a", Firm}: 2}
+	assert.Equal(t, len(p.Plan(d, now)), 0, "others may be there that have not entered themselves")
+	d.Have = map[Place]int{{"s", "a", Firm}: 6, {"s", "b", Firm}: 6, {"s", "c", Firm}: 6}
+	assert.Equal(t, len(p.Plan(d, now+settleFor)), 0)
+	now += 2 * settleFor
+	plan := p.Plan(d, now)
+	assert.Equal(t, sum(plan, Reclaimable), 18)
+	assert.Equal(t, sum(plan, Firm), 18)
+	for place, n := range plan {
+		if place.Kind == Reclaimable {
+			d.Have[place] = n
+		}
+	}
+	plan = p.Plan(d, now+4*time.Second)
+	assert.Equal(t, sum(plan, Reclaimable), 18)
+	assert.Equal(t, sum(plan, Firm), 6)
+	for place, n := range plan {
+		d.Have[place] = n
+	}
+	d.Work = 5000
+	assert.Assert(t, sum(p.Plan(d, now+5*time.Second), Firm) < 6, "the load is known")
+}
+
+// TestARestartExchangesNothing replays a holder that has just started, beside upstreams
+// that others have ordered.
+func TestARestartExchangesNothing(t *testing.T) {
+	d := demand(0)
+	d.Have = map[Place]int{{"s", "a", Firm}: 2, {"s", "a", Reclaimable}: 4}
+	assert.Equal(t, len(NewPlanner().Plan(d, time.Hour)), 0)
+}
+
 func TestUnknownLoadOrdersNothing(t *testing.T) {
 	assert.Equal(t, len(NewPlanner().Plan(demand(0), time.Hour)), 0)
 	d := demand(1000)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -84,6 +84,7 @@
 	Min, Max     int                // per availability zone, of both kinds together
 	ReclaimPrice float64            // of a reclaimable upstream, as part of the full price; 0 where there are none
 	ZonePrices   map[string]float64 // per second
+	Boot         time.Duration      // from an order until an upstream serves; 0 if not known
 }
 
 // Service is a group of equal upstreams.
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -60,9 +60,11 @@
 	callGap = 400 * time.Millisecond
 	// refusedGap is the same after an order was refused since there are none.
 	refusedGap = 3 * time.Second
-	// reorderAfter is how long an order may have fewer upstreams than it names
-	// before it is given again: they boot in 4 s.
-	reorderAfter = 7 * time.Second
+	// usualBoot is how long an upstream is taken to boot where its service does not tell.
+	usualBoot = 4 * time.Second
+	// enterAfter is how long after it has booted an upstream may take to enter itself, and
+	// its entry to be known here.
+	enterAfter = 3 * time.Second
 	// dryFor is how long a refusal of reclaimable upstreams counts: until the next try
 	// has been answered.
 	dryFor = refusedGap + time.Second
@@ -154,6 +156,9 @@
 	// returns how many there are.
 	Plan func(open func(service, zone string) bool, have map[capacity.Place]int, o Orders) map[capacity.Place]int
 	Have func() map[capacity.Place]int
+	// Boot returns how long an upstream of a service takes from its order until it
+	// serves, 0 if that is not known.
+	Boot func(service string) time.Duration
 	// Reports tells whether usage is to be reported.
 	Reports bool
 }
@@ -272,7 +277,7 @@
 		d.Log.Info("duty not taken", "token", next.Token, "error", err)
 		return
 	}
-	d.sent, d.tried, d.orders = make(map[int64]bool), make(map[int64]time.Duration), newOrders()
+	d.sent, d.tried, d.orders = make(map[int64]bool), make(map[int64]time.Duration), newOrders(d.Boot)
 	d.fire("acquired", "take lease")
 	d.fire("waited", "take lease")
 	d.setToken(next.Token)
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -140,6 +140,7 @@
 		EpochMS:  func() int64 { return 1_700_000_000_000 },
 		Plan:     func(func(string, string) bool, map[capacity.Place]int, Orders) map[capacity.Place]int { return nil },
 		Have:     func() map[capacity.Place]int { return nil },
+		Boot:     func(string) time.Duration { return 0 },
 		Reports:  true,
 	})
 }
@@ -280,7 +281,7 @@
 	assert.Equal(t, len(w.cloud.orders), 1)
 	w.step(a)
 	assert.Equal(t, len(w.cloud.orders), 1, "the order stands")
-	a.orders.at[place] = boottime.Now() - reorderAfter
+	a.orders.at[place] = boottime.Now() - usualBoot - enterAfter
 	w.step(a)
 	assert.Equal(t, len(w.cloud.orders), 2, "fewer came than were ordered")
 }
@@ -388,7 +389,7 @@
 	calls := w.cloud.calls
 	assert.Equal(t, calls, 5, "one for the closed zone")
 	for range 3 {
-		a.orders = newOrders() // as a new token does
+		a.orders = newOrders(a.Boot) // as a new token does
 		w.step(a)
 	}
 	assert.Equal(t, w.cloud.calls, calls+12)
--- a/internal/duty/orders.go
+++ b/internal/duty/orders.go
@@ -15,6 +15,7 @@
 
 // orders remembers what was ordered under one token.
 type orders struct {
+	boot   func(service string) time.Duration
 	placed map[capacity.Place]int
 	seen   map[capacity.Place]int           // the most that there have been since the order
 	at     map[capacity.Place]time.Duration // boot time of the order
@@ -22,8 +23,9 @@
 	dry    map[string]time.Duration         // boot time until which a service's reclaimable ones count as not to be had
 }
 
-func newOrders() *orders {
+func newOrders(boot func(service string) time.Duration) *orders {
 	return &orders{
+		boot:   boot,
 		placed: make(map[capacity.Place]int),
 		seen:   make(map[capacity.Place]int),
 		at:     make(map[capacity.Place]time.Duration),
@@ -32,6 +34,14 @@
 	}
 }
 
+// patience is how long upstreams of an order are awaited before it is given again.
+func (o *orders) patience(p capacity.Place) time.Duration {
+	if boot := o.boot(p.Service); boot > 0 {
+		return boot + enterAfter
+	}
+	return usualBoot + enterAfter
+}
+
 // look notes how many upstreams there are.
 func (o *orders) look(have map[capacity.Place]int) {
 	for p := range o.placed {
@@ -43,7 +53,7 @@
 // and are gone again, the order does not bring them back.
 func (o *orders) due(p capacity.Place, have int, now time.Duration) int {
 	placed, ok := o.placed[p]
-	if !ok || have < o.seen[p] || now-o.at[p] >= reorderAfter {
+	if !ok || have < o.seen[p] || now-o.at[p] >= o.patience(p) {
 		return 0
 	}
 	return max(placed-have, 0)
--- a/internal/duty/orders_test.go
+++ b/internal/duty/orders_test.go
@@ -18,7 +18,7 @@
 // TestReclaimedSoonAfterTheOrder replays a zone that is reclaimed while its order is
 // still young: what came and is gone is not awaited, but ordered again.
 func TestReclaimedSoonAfterTheOrder(t *testing.T) {
-	o := newOrders()
+	o := newOrders(func(string) time.Duration { return 0 })
 	o.given(cheapA, 4, 0, time.Minute)
 	assert.Equal(t, o.due(cheapA, 0, time.Minute+time.Second), 4)
 	assert.Assert(t, o.stands(cheapA, 4, 0, time.Minute+time.Second))
@@ -26,7 +26,7 @@
 	assert.Equal(t, o.due(cheapA, 3, time.Minute+4*time.Second), 1)
 	assert.Equal(t, o.due(cheapA, 0, time.Minute+5*time.Second), 0)
 	assert.Assert(t, !o.stands(cheapA, 4, 0, time.Minute+5*time.Second))
-	assert.Equal(t, o.due(cheapA, 3, time.Minute+reorderAfter), 0, "should have booted")
+	assert.Equal(t, o.due(cheapA, 3, time.Minute+usualBoot+enterAfter), 0, "should have booted")
 }
 
 // TestWhatIsAddedGoesFirst orders more of one kind and less of another: the cut comes
@@ -60,3 +60,12 @@
 		assert.Equal(t, told, c.want)
 	}
 }
+
+// TestSlowBootsAreAwaited orders upstreams that take half a minute to boot: they count as
+// due until then, and the order is not given again.
+func TestSlowBootsAreAwaited(t *testing.T) {
+	o := newOrders(func(string) time.Duration { return 30 * time.Second })
+	o.given(cheapA, 4, 0, time.Minute)
+	assert.Equal(t, o.due(cheapA, 0, time.Minute+29*time.Second), 4)
+	assert.Equal(t, o.due(cheapA, 0, time.Minute+33*time.Second), 0)
+}
--- a/internal/node/fleetduty.go
+++ b/internal/node/fleetduty.go
@@ -34,6 +34,7 @@
 		},
 		EpochMS: n.epochMS,
 		Have:    n.fleet.have,
+		Boot:    n.bootTime,
 		Plan: func(open func(service, zone string) bool, have map[capacity.Place]int, o duty.Orders) map[capacity.Place]int {
 			now := boottime.Now()
 			if !n.OrdersUpstreams || n.proxy.Catalog() == nil {
@@ -41,7 +42,7 @@
 			}
 			work := n.totalWork(now)
 			if first := n.work.First(); first == 0 || now-first < planAfter {
-				return nil
+				clear(work) // not known yet
 			}
 			plan, due := make(map[capacity.Place]int), o.Due(have)
 			for name, s := range n.proxy.Catalog().Services {
@@ -59,6 +60,18 @@
 	})
 }
 
+// bootTime returns how long an upstream of a service takes to boot, 0 if that is not known.
+func (n *Node) bootTime(service string) time.Duration {
+	c := n.proxy.Catalog()
+	if c == nil {
+		return 0
+	}
+	if s := c.Services[service]; s != nil && s.Scaling != nil {
+		return s.Scaling.Boot
+	}
+	return 0
+}
+
 // dutyHeld tells whether another daemon in touch holds the duty.
 func (n *Node) dutyHeld() bool {
 	for _, s := range n.mesh.States() {
--- a/scripts/vary-site.sh
+++ b/scripts/vary-site.sh
@@ -1,10 +1,12 @@
 #!/usr/bin/env bash
 # Prints a variant of a site file of the users' bench, for hunts on deployments that
 # nobody has seen: scripts/vary-site.sh SITE KIND > OTHER.toml, beside a copy of the
-# site's wire.json. KIND: closed, unfenced, bounds, slow, customers, runners, zone.
+# site's wire.json. KIND: closed, unfenced, bounds, slow, customers, runners, zone; of the
+# engines pace (a third as fast), slots (8 each), boot (12 s), price (reclaimable ones at
+# 0.6 of the price), cheap (at 0.05), reclaims (short notice, none to be had for twice as long).
 set -euo pipefail
 if [ $# -ne 2 ] || [ ! -r "$1" ]; then
-	echo "usage: scripts/vary-site.sh SITE closed|unfenced|bounds|slow|customers|runners|zone" >&2
+	echo "usage: scripts/vary-site.sh SITE closed|unfenced|bounds|slow|customers|runners|zone|pace|slots|boot|price|cheap|reclaims" >&2
 	exit 2
 fi
 site=$1
@@ -38,5 +40,11 @@
 runners) sed -E 's/(servers = \[\{ zone = "[^"]*", count = )[0-9]+( \}, \{ zone = "[^"]*", count = )[0-9]+ \}[^]]*\]/\11\21 }]/
 	s/min = 1, max = 12/min = 1, max = 2/; s/(mix = .*per_s = )([0-9]+)[.0-9]*/\18.0/' "$site" ;;
 zone) one_zone ;;
+pace) sed -E 's/(mix = .*per_s = )([0-9]+)[.0-9]*/\130.0/; s/step_ms = [0-9.]+/step_ms = 12.0/; s/prefill_tokens_per_ms = [0-9.]+/prefill_tokens_per_ms = 40.0/' "$site" ;;
+slots) sed -E 's/slots = (32|48), /slots = 8, /; s/batch = (32|48), /batch = 8, /' "$site" ;;
+boot) sed -E 's/boot_s = [0-9.]+/boot_s = 12.0/' "$site" ;;
+price) sed -E 's/spot_price = [0-9.]+/spot_price = 0.6/' "$site" ;;
+cheap) sed -E 's/spot_price = [0-9.]+/spot_price = 0.05/' "$site" ;;
+reclaims) sed -E 's/(how = "reclaim[^"]*", x = )[0-9.]+, for_s = ([0-9]+)[.0-9]*/\11.0, for_s = \20.0/; s/for_s = (1[0-9])0\.0/for_s = 26.0/' "$site" ;;
 *) echo "no such kind: $2" >&2; exit 2 ;;
 esac
