The choice of an upstream knows what it could fetch

Cause: the choice still weighed shared parts as to be read where another upstream keeps them, so that requests crowded where a part is kept though a fetch takes 7 ms.

Change: the keeper of a prompt's parts is found once, and each upstream is weighed by what it would read after a fetch; a fetch may take twice as long as to read (parts of some hundred tokens are fetched too), since reading delays all others at an engine.

--- a/internal/routing/place/place.go
+++ b/internal/routing/place/place.go
@@ -221,13 +221,14 @@
 	defer p.mu.Unlock()
 	list, of := p.candidates(q, now)
 	known, line := p.knownOf(q, of, now), p.pace(q.Service)
+	from := p.keeperOf(list, q, known, now)
 	best, bestCost, usable := Choice{}, math.Inf(1), 0
 	for _, u := range list {
 		if !p.takes(u, q, now) {
 			continue
 		}
 		usable++
-		if c, cost := p.weigh(u, q, known, line, now); cost < bestCost {
+		if c, cost := p.weigh(u, q, known, from, line, now); cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
@@ -235,7 +236,6 @@
 		return best, &NoneError{q.Service, p.opens(list, q, now)}
 	}
 	best.Usable = usable
-	p.fetch(&best, list, q, known, line, now)
 	s := p.states[best.Upstream.Key()]
 	if s.own.Running == 0 {
 		s.waitSince, s.waitFor = now, 0
@@ -252,12 +252,22 @@
 
 // weigh returns what choosing an upstream would mean, and what that costs in
 // milliseconds. The caller holds mu.
-func (p *Placer) weigh(u *roster.Upstream, q Query, k known, line *pace, now time.Duration) (Choice, float64) {
+func (p *Placer) weigh(u *roster.Upstream, q Query, k known, from keeper, line *pace, now time.Duration) (Choice, float64) {
 	s := p.states[u.Key()]
-	missing, load := s.missing(q, k, now), s.total(now)
-	expected := s.expected(load, missing, q, p.works[q.Service], line)
-	shared := shared(q, missing)
-	again := line.perToken() * float64(shared)
+	c := Choice{Upstream: u, Missing: s.missing(q, k, now), Home: u == k.home}
+	c.Shared = shared(q, c.Missing)
+	fetched, fetching := from.fetch(u, c.Shared, q, line.perToken()*s.speed)
+	if fetched > 0 {
+		c.Source, c.Fetched = from.up, fetched
+		c.Missing -= fetched
+		c.Shared -= fetched
+	}
+	load := s.total(now)
+	expected := fetching + s.expected(load, c.Missing, q, p.works[q.Service], line)
+	c.Expected, c.Wait = milliseconds(expected), milliseconds(s.queue(load, q, p.works[q.Service], line))
+	c.Ahead, c.Running = load.Backlog, load.Running
+
+	again := line.perToken() * (float64(c.Shared) + fetchPart*float64(fetched))
 	reread, blur := rereadPart*again, noise*rand.Float64()
 	if ablation.Without(ablation.RereadPrice) {
 		reread = 0
@@ -265,12 +275,10 @@
 	if ablation.Without(ablation.Blur) {
 		blur = 0
 	}
-	if u == k.home {
+	if c.Home {
 		reread -= k.trust * again
 		blur = 0 // all daemons are to choose it, and the next ones will find the part there
 	}
-	c := Choice{Upstream: u, Expected: milliseconds(expected), Wait: milliseconds(s.queue(load, q, p.works[q.Service], line)),
-		Missing: missing, Shared: shared, Home: u == k.home, Ahead: load.Backlog, Running: load.Running}
 	return c, (expected + s.penalty(load, now, p.zone) + reread) * (1 + blur)
 }
 
