Stand-ins take the room that reclaimable upstreams leave; more slack where it is cheap

It can happen with any slack where the load comes near the maximum.

Change: on-demand upstreams are dealt out over the room beside the reclaimable ones that are there, and reclaimable ones over what is left.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -24,6 +24,9 @@
 	// busyShort is the same for the moments in which reclaimable ones were taken away
 	// and those that stand in have not booted.
 	busyShort = 0.9
+	// leastBusy bounds the slack of very cheap upstreams: more of them would keep less of
+	// prompts each, and need more connections, than they save.
+	leastBusy = 0.25
 	// fullSlots and fullShort are the parts of their slots that may be taken: above,
 	// requests queue at upstreams, or are turned away.
 	fullSlots = 0.8
@@ -104,14 +107,13 @@
 	enough = min(max(enough, least), most)
 	plan := make(map[Place]int)
 	if s.ReclaimPrice <= 0 || s.ReclaimPrice >= 1 {
-		spread(plan, d.Service.Name, Firm, zones, enough, s.Max)
-		spread(plan, d.Service.Name, Reclaimable, zones, 0, s.Max)
+		d.deal(plan, zones, 0, enough)
 		return plan
 	}
 	p.remember(d, now)
 	ample := p.hold(need{d.Service.Name, "ample"}, d.count(cheapPart(busyFull, s.ReclaimPrice), cheapPart(fullSlots, s.ReclaimPrice)), now)
 	short := p.hold(need{d.Service.Name, "short"}, d.count(busyShort, fullShort), now)
-	spread(plan, d.Service.Name, Reclaimable, zones, min(max(ample, least), most), s.Max)
+	cheap := min(max(ample, least), most)
 	if d.Drought && !ablation.Without(ablation.DroughtCover) {
 		short = enough // what is taken now does not come back soon
 	}
@@ -120,9 +122,9 @@
 		firm = enough
 	}
 	if !ablation.Without(ablation.ZoneCover) {
-		firm = max(firm, short-d.leftByReclaim(plan, zones))
+		firm = max(firm, short-d.leftByReclaim(cheap, zones))
 	}
-	spread(plan, d.Service.Name, Firm, zones, min(firm, most), s.Max)
+	d.deal(plan, zones, cheap, firm)
 	return plan
 }
 
@@ -153,8 +155,7 @@
 	p.hold(need{service, "ample"}, enough, now)
 	zones := byPrice(d.Zones, s.ZonePrices)
 	plan := make(map[Place]int)
-	spread(plan, service, Reclaimable, zones, enough, s.Max)
-	spread(plan, service, Firm, zones, max(p.standIn(d, enough, zones), enough-d.leftByReclaim(plan, zones)), s.Max)
+	d.deal(plan, zones, enough, max(p.standIn(d, enough, zones), enough-d.leftByReclaim(enough, zones)))
 	return plan
 }
 
@@ -170,14 +171,13 @@
 }
 
 // cheapPart returns the part of their time or slots that upstreams at a part of the
-// full price may have taken. Waiting falls with the square of the slack, so the slack
-// that pays grows with the square root of how much cheaper they are.
+// full price may have taken: as much is paid for slack as at the full price.
 func cheapPart(full, price float64) float64 {
 	if ablation.Without(ablation.CheapSlack) {
 		return full
 	}
 	slack := (1 - full) / full
-	return 1 / (1 + slack/math.Sqrt(price))
+	return max(1/(1+slack/price), leastBusy)
 }
 
 // standIn returns how many on-demand upstreams make up for reclaimable ones that are
@@ -197,19 +197,25 @@
 }
 
 // leftByReclaim returns how many reclaimable upstreams stay when the zone that has
-// most of them loses them: of those planned, or in a drought of those that are there.
-func (d Demand) leftByReclaim(plan map[Place]int, zones []string) int {
-	count := plan
-	if d.Drought && !ablation.Without(ablation.DroughtCover) {
-		count = d.Have
+// most of them loses them: of so many planned, or in a drought of those that are there.
+func (d Demand) leftByReclaim(planned int, zones []string) int {
+	if !d.Drought || ablation.Without(ablation.DroughtCover) {
+		return planned - (planned+len(zones)-1)/len(zones)
 	}
-	sum, largest := 0, 0
+	largest := 0
 	for _, z := range zones {
-		n := count[Place{d.Service.Name, z, Reclaimable}]
-		sum += n
-		largest = max(largest, n)
+		largest = max(largest, d.Have[Place{d.Service.Name, z, Reclaimable}])
 	}
-	return sum - largest
+	return d.there(Reclaimable) - largest
+}
+
+// deal spreads both kinds over the zones. What a zone may have is shared: on-demand
+// upstreams take the room that reclaimable ones do not fill at present, and more of these
+// are ordered as the on-demand ones leave.
+func (d Demand) deal(plan map[Place]int, zones []string, cheap, firm int) {
+	service, most := d.Service.Name, d.Service.Scaling.Max
+	spread(plan, service, Firm, zones, firm, func(z string) int { return most - d.Have[Place{service, z, Reclaimable}] })
+	spread(plan, service, Reclaimable, zones, cheap, func(z string) int { return most - plan[Place{service, z, Firm}] })
 }
 
 // count returns how many upstreams are busy for a part of their time and have a part
@@ -257,21 +263,20 @@
 	return list
 }
 
-// spread deals n upstreams out over the zones, the cheapest first, so that no
-// zone holds more than one above another where its maximum allows.
-func spread(plan map[Place]int, service string, k Kind, zones []string, n, most int) {
+// spread deals n upstreams out over the zones, the cheapest first, so that no zone
+// holds more than one above another where there is room.
+func spread(plan map[Place]int, service string, k Kind, zones []string, n int, room func(zone string) int) {
 	for _, z := range zones {
 		plan[Place{service, z, k}] = 0
 	}
 	for n > 0 {
 		placed := false
 		for _, z := range zones {
-			if n == 0 || plan[Place{service, z, Firm}]+plan[Place{service, z, Reclaimable}] >= most {
-				continue
+			if p := (Place{service, z, k}); n > 0 && plan[p] < room(z) {
+				plan[p]++
+				n--
+				placed = true
 			}
-			plan[Place{service, z, k}]++
-			n--
-			placed = true
 		}
 		if !placed {
 			return
