--- a/internal/node/reads.go
+++ b/internal/node/reads.go
@@ -16,6 +16,9 @@
 	changeWait = 1500 * time.Millisecond
 	// hubWait is the same for hubs, whose members are to know soon that they read.
 	hubWait = 750 * time.Millisecond
+	// entryGap is the least time between two reads of the entries of upstreams: those that
+	// are ordered, or reclaimed, together change one after the other.
+	entryGap = 200 * time.Millisecond
 	// daemonWait is the same for the addresses of daemons, which these also tell
 	// each other.
 	daemonWait = 10 * time.Second
@@ -45,7 +48,7 @@
 		})
 	}
 	n.config = view(n.ConfigTable, changeWait, 0, 0, n.onConfig)
-	n.entries = view(n.UpstreamTable, changeWait, entryHold, 0, n.fleet.onEntries)
+	n.entries = view(n.UpstreamTable, changeWait, entryHold, entryGap, n.fleet.onEntries)
 	n.daemons = view(daemonTable, daemonWait, 0, daemonGap, n.onDaemons)
 }
 
