--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -77,7 +77,8 @@
 type Planner struct {
 	peaks   map[need]*peak
 	present map[string]*peak // on-demand upstreams of a deployment that begins, by service
-	firm    map[string]int   // on-demand upstreams planned last, by service
+	counts  map[string]Counts
+	firm    map[string]int // on-demand upstreams planned last, by service
 }
 
 // need is one of the counts that a service has to have.
@@ -88,7 +89,8 @@
 
 // NewPlanner returns a planner that remembers nothing.
 func NewPlanner() *Planner {
-	return &Planner{peaks: make(map[need]*peak), present: make(map[string]*peak), firm: make(map[string]int)}
+	return &Planner{peaks: make(map[need]*peak), present: make(map[string]*peak), firm: make(map[string]int),
+		counts: make(map[string]Counts)}
 }
 
 // Plan returns how many upstreams of each kind a service should have in each
@@ -125,9 +127,21 @@
 		firm = max(firm, short-d.leftByReclaim(cheap, zones))
 	}
 	d.deal(plan, zones, cheap, firm)
+	p.counts[d.Service.Name] = Counts{Enough: enough, Short: short, Cheap: cheap, Firm: firm}
 	return plan
 }
 
+// Counts are what a plan was made of, for logs.
+type Counts struct {
+	Enough int // upstreams, for answers in time
+	Short  int // the same for some seconds
+	Cheap  int // reclaimable ones planned, before the room in zones
+	Firm   int // on-demand ones, the same
+}
+
+// Counts returns what the last plan of a service was made of.
+func (p *Planner) Counts(service string) Counts { return p.counts[service] }
+
 // exchange plans for a load that is not known yet, where a deployment begins with
 // on-demand upstreams only: as many reclaimable ones take their place, but for what the
 // reclaim of one zone would take away. It returns nil where somebody has planned before.
--- a/internal/node/fleetduty.go
+++ b/internal/node/fleetduty.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -50,9 +51,9 @@
 				zones := slices.DeleteFunc(n.serviceZones(name), closed)
 				d := capacity.Demand{Service: s, Zones: zones, Work: work[name], Running: n.placer.Running(name),
 					Have: have, Due: due, Drought: o.Drought(name)}
-				for p, count := range planner.Plan(d, now) {
-					plan[p] = count
-				}
+				before := planner.Counts(name)
+				maps.Copy(plan, planner.Plan(d, now))
+				n.notePlan(d, before, planner.Counts(name))
 			}
 			return plan
 		},
@@ -60,6 +61,15 @@
 	})
 }
 
+// notePlan logs a plan that has changed, and what it was made of.
+func (n *Node) notePlan(d capacity.Demand, before, c capacity.Counts) {
+	if c == before {
+		return
+	}
+	n.log.Info("upstreams planned", "service", d.Service.Name, "reclaimable", c.Cheap, "on_demand", c.Firm, "enough", c.Enough,
+		"short", c.Short, "drought", d.Drought, "work_ms", int(d.Work), "running", d.Running)
+}
+
 // bootTime returns how long an upstream of a service takes to boot, 0 if that is not known.
 func (n *Node) bootTime(service string) time.Duration {
 	c := n.proxy.Catalog()
