Partitions of lots are scanned in rounds: TestReleased traced

Cause: a daemon drew 16 of 64 partitions a second at random, so a lapsed lease could be missed for any time: in 19 s (304 draws) one run in 120. TestReleased waits 20 s for one lot and failed once in nine runs; it was not the machine's load. Ruled out: the hand-over itself, whose release records the end of the lease in one write.

Change: partitions are dealt out in random order, each once before any comes again, so a lapsed lease of a lone daemon is seen within 8 s.

--- a/internal/serve/lotwatch.go
+++ b/internal/serve/lotwatch.go
@@ -30,6 +30,7 @@
 func (l *Lots) Run(ctx context.Context) error {
 	t := time.NewTicker(watchInterval)
 	defer t.Stop()
+	var partitions deck
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -38,7 +39,7 @@
 		}
 		scans := scansPerSecond / float64(l.daemons.Load())
 		for ; scans > 0 && rand.Float64() < scans; scans-- {
-			l.scanOpen(ctx, rand.IntN(ledger.Partitions), time.Now())
+			l.scanOpen(ctx, partitions.draw(), time.Now())
 		}
 		if n%collectEvery == 0 {
 			l.collect(ctx, rand.IntN(ledger.Partitions), time.Now())
@@ -46,6 +47,19 @@
 	}
 }
 
+// deck deals out the partitions in random order, each once before any comes again: drawn
+// by chance alone, one can be missed for as long as chance has it.
+type deck struct{ left []int }
+
+func (d *deck) draw() int {
+	if len(d.left) == 0 {
+		d.left = rand.Perm(ledger.Partitions)
+	}
+	next := d.left[0]
+	d.left = d.left[1:]
+	return next
+}
+
 // scanOpen adopts lots of one partition whose lease has lapsed.
 func (l *Lots) scanOpen(ctx context.Context, partition int, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, watchCallBudget)
