Estimates for prompts are not blurred any more

Plain requests keep it: where upstreams are equal the first one would get all (TestNewPlainUpstreamIsUsed fails without).

TestManyDaemonsDoNotHerd passes.

--- a/internal/ablation/ablation.go
+++ b/internal/ablation/ablation.go
@@ -32,7 +32,7 @@
 	Silence       Mechanism = "silence"        // upstreams that say nothing are left
 	Full          Mechanism = "full"           // upstreams near their slots are avoided
 	OwnZone       Mechanism = "own-zone"       // the daemon's own zone is preferred
-	Blur          Mechanism = "blur"           // estimates are blurred
+	Blur          Mechanism = "blur"           // estimates for plain requests are blurred
 	Repeats       Mechanism = "repeats"        // what may have run is sent again where that is allowed
 	CheapSlack    Mechanism = "cheap-slack"    // the cheaper upstreams are, the more slack is kept
 	StandIn       Mechanism = "stand-in"       // on-demand upstreams come only for missing reclaimable ones
--- a/internal/routing/place/place.go
+++ b/internal/routing/place/place.go
@@ -58,8 +58,8 @@
 	// rereadPart of the time that shared prompt tokens take to be read again is added
 	// to it: reading them delays others there.
 	rereadPart = 1.0
-	// noise is the part by which estimates are blurred, so that daemons with the
-	// same knowledge do not all choose the same upstream.
+	// noise is the part by which estimates for plain requests are blurred: where upstreams
+	// are equal, daemons with the same knowledge would all choose the same one.
 	noise = 0.15
 	// failCost is added for an upstream that fails all requests; in proportion
 	// for one that fails some.
@@ -268,16 +268,15 @@
 	c.Ahead, c.Running = load.Backlog, load.Running
 
 	again := line.perToken() * (float64(c.Shared) + fetchPart*float64(fetched))
-	reread, blur := rereadPart*again, noise*rand.Float64()
+	reread, blur := rereadPart*again, 0.0
+	if q.plain() && !ablation.Without(ablation.Blur) {
+		blur = noise * rand.Float64()
+	}
 	if ablation.Without(ablation.RereadPrice) {
 		reread = 0
 	}
-	if ablation.Without(ablation.Blur) {
-		blur = 0
-	}
 	if c.Home {
 		reread -= k.trust * again
-		blur = 0 // all daemons are to choose it, and the next ones will find the part there
 	}
 	return c, (expected + s.penalty(load, now, p.zone) + reread) * (1 + blur)
 }
