--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -15,13 +15,12 @@
 
 // Report is what a played day says of itself (the users' bench, run --report).
 type Report struct {
-	Worth   float64       `json:"G"`
-	Parts   []Part        `json:"parts"`
-	Prices  []Price       `json:"prices"`
-	Classes []Tally       `json:"classes"`
-	Windows []Tally       `json:"windows"` // named by the second in which they begin
-	Events  []Event       `json:"events"`
-	Unmet   []unservedRow `json:"unserved_by"`
+	Worth   float64 `json:"G"`
+	Parts   []Part  `json:"parts"`
+	Prices  []Price `json:"prices"`
+	Classes []Tally `json:"classes"`
+	Windows []Tally `json:"windows"` // named by the second in which they begin
+	Events  []Event `json:"events"`
 }
 
 // Part is a part of the worth: a weight and the share of credit earned there.
@@ -58,12 +57,6 @@
 	What string  `json:"what"`
 }
 
-// unservedRow is how the last tries of unserved requests ended, and how many.
-type unservedRow struct {
-	End   string
-	Count int
-}
-
 // Credit is what an answer of a kind of request earns.
 type Credit struct{ InTime, Late float64 }
 
@@ -77,9 +70,6 @@
 	return tuple(data, &p.Name, &p.Amount, &p.Cost)
 }
 
-// UnmarshalJSON reads [end, count, example].
-func (u *unservedRow) UnmarshalJSON(data []byte) error { return tuple(data, &u.End, &u.Count) }
-
 // tuple reads the first values of a JSON list.
 func tuple(data []byte, into ...any) error {
 	var list []json.RawMessage
