Log and count how far a response had come when its upstream broke it off

One line per broken response now has its stage, the time since its first event and the segments that other requests may share; a counter has them by stage. No decision changes.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -35,6 +35,7 @@
 	attempts            map[attemptKey]int64               // attempts by upstream and result
 	uncountedRequests   int64                              // requests not counted because of maxSeries
 	unansweredQuestions atomic.Int64                       // questions that no hub has answered
+	broken              map[proxy.Stage]int64              // responses that upstreams broke off
 	retries             int64                              // sends beyond the first of each request
 	resumed             int64                              // streams that were resumed at another upstream
 	prefillTokens       int64                              // prompt tokens prefilled by upstreams for first attempts
@@ -47,7 +48,7 @@
 
 func newMetrics() *metrics {
 	return &metrics{requests: make(map[series]int64), firstEvent: make(map[series]*hdrhistogram.Histogram),
-		attempts: make(map[attemptKey]int64)}
+		attempts: make(map[attemptKey]int64), broken: make(map[proxy.Stage]int64)}
 }
 
 // causeLabel returns the value of the cause label: how a request ended.
@@ -109,6 +110,13 @@
 	}
 }
 
+// addBroken counts a response that an upstream broke off.
+func (m *metrics) addBroken(s proxy.Stage) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.broken[s]++
+}
+
 // write writes all metrics, one per line.
 func (m *metrics) write(w io.Writer) {
 	m.mu.Lock()
@@ -132,6 +140,9 @@
 	} {
 		lines = append(lines, fmt.Sprintf("lagoonmux_%s %d", name, n))
 	}
+	for s, n := range m.broken {
+		lines = append(lines, fmt.Sprintf("lagoonmux_answers_broken_total{stage=%q} %d", s, n))
+	}
 	slices.Sort(lines)
 	for _, l := range lines {
 		_, _ = fmt.Fprintln(w, l)
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -13,6 +13,13 @@
 // UpstreamLeaving implements proxy.Observer.
 func (n *Node) UpstreamLeaving(u *roster.Upstream) { n.roster.markLeaving(u.Key(), n.Name) }
 
+// AnswerBroken implements proxy.Observer.
+func (n *Node) AnswerBroken(b proxy.BrokenAnswer) {
+	n.metrics.addBroken(b.Stage)
+	n.log.Info("answer broken off", "id", b.Request.ID, "upstream", b.Upstream.ID, "service", b.Service, "stage", b.Stage.String(),
+		"first_age_ms", b.FirstAge.Milliseconds(), "segments", proxy.FormatSegments(b.Request.SharedPrompt()))
+}
+
 // RequestEnded implements proxy.Observer. It counts the request in the metrics and logs it.
 func (n *Node) RequestEnded(r *proxy.Record) {
 	n.metrics.add(r)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -75,7 +75,9 @@
 	info           ResponseInfo            // decoded from head
 	startTime      time.Time
 	sentAt         time.Duration // boot time
+	headArrived    bool          // the head of the response arrived
 	responded      bool          // the first event or the complete response arrived
+	firstAt        time.Duration // boot time at which it did
 	connsExhausted bool          // no connection was available within the upstream's limit
 }
 
@@ -128,6 +130,7 @@
 	a.Work.Add(a.service.Name, RequestWork{UnsharedTokens: a.choice.Prefill - a.choice.SharedPrefill, SharedTokens: a.choice.SharedPrefill,
 		MaxOutputTokens: a.req.MaxOutputTokens, PrefillFactor: a.Placer.PrefillFactor(a.service.Name)}, boottime.Now())
 	res, err := a.exchange(ctx, left)
+	a.reportBroken(ctx, res, err)
 	switch res {
 	case done:
 		conn.Release()
@@ -198,6 +201,7 @@
 	if err := a.awaitHead(left); err != nil {
 		return lost, err
 	}
+	a.headArrived = true
 	a.info = a.Codec.DecodeResponse(&a.head)
 	a.applyUpstreamState()
 	return a.relayResponse(ctx)
@@ -363,6 +367,7 @@
 		return
 	}
 	a.responded = true
+	a.firstAt = boottime.Now()
 	now := time.Now()
 	a.Placer.FirstEvent(a.choice, now.Sub(a.startTime), boottime.Now())
 	if a.record.First.IsZero() {
--- /dev/null
+++ b/internal/proxy/brokenanswer.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lagoonmux/lagoonmux/internal/boottime"
+	"github.com/lagoonmux/lagoonmux/internal/roster"
+	"github.com/lagoonmux/lagoonmux/internal/routing/place"
+)
+
+// Stage is how far a response had come when its connection ended.
+type Stage int
+
+// Stages of a response.
+const (
+	BeforeHead  Stage = iota // no complete head arrived
+	BeforeEvent              // the head arrived, but neither an event nor a complete body
+	AfterEvent               // at least one event arrived
+)
+
+// String returns the name used in logs and metrics.
+func (s Stage) String() string { return [...]string{"before_head", "before_event", "after_event"}[s] }
+
+// BrokenAnswer describes a request whose connection the upstream ended before the response
+// was complete.
+type BrokenAnswer struct {
+	Request  *Request
+	Service  string
+	Upstream *roster.Upstream
+	Stage    Stage
+	SentAt   time.Duration // boot time
+	FirstAge time.Duration // since the first event arrived; 0 if none did
+}
+
+// maxListedSegments bounds the segments in one log line.
+const maxListedSegments = 16
+
+// SharedPrompt returns the segments of the prompt that other requests may have too: all but
+// the last one.
+func (r *Request) SharedPrompt() []place.Segment {
+	if len(r.Prompt) == 0 {
+		return nil
+	}
+	return r.Prompt[:len(r.Prompt)-1]
+}
+
+// FormatSegments lists the IDs of segments in hexadecimal, separated by commas, for logs.
+func FormatSegments(segments []place.Segment) string {
+	var b strings.Builder
+	for i, s := range segments {
+		if i == maxListedSegments {
+			return b.String() + ",..."
+		}
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(s.ID, 16))
+	}
+	return b.String()
+}
+
+// connectionEnded reports whether err means that the peer closed or reset the connection.
+func connectionEnded(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// reportBroken notifies the observer if the upstream ended the connection before the
+// response was complete.
+func (a *attempt) reportBroken(ctx context.Context, res result, err error) {
+	if res != lost && res != broken || ctx.Err() != nil || !connectionEnded(err) {
+		return
+	}
+	b := BrokenAnswer{Request: a.req, Service: a.service.Name, Upstream: a.choice.Upstream, SentAt: a.sentAt}
+	switch {
+	case a.responded:
+		b.Stage, b.FirstAge = AfterEvent, boottime.Now()-a.firstAt
+	case a.headArrived:
+		b.Stage = BeforeEvent
+	}
+	a.Observer.AnswerBroken(b)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -100,6 +100,9 @@
 	// UpstreamLeaving is called for each response in which an upstream announces that
 	// it is about to stop.
 	UpstreamLeaving(u *roster.Upstream)
+	// AnswerBroken is called for each response that the upstream broke off by ending its
+	// connection.
+	AnswerBroken(b BrokenAnswer)
 	// RequestEnded is called once per request, after its response.
 	RequestEnded(r *Record)
 }
