Failing test: requests with a segment that ends upstreams are sent on

TestCrashingSegmentIsNotSentOn, six real daemons before ten engines that are replaced: 174 requests with the segment reach upstreams later than 3 s after the fifth end, allowed 3; 53 upstreams ended.

--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -73,6 +73,9 @@
 	refused       int
 	header        http.Header // added to all responses
 	refusalHeader http.Header // added to refusals
+	crashSegment  string      // prompt segment that ends the upstream; empty for none
+	endedAt       time.Time   // zero unless it has ended
+	onEnd         func(u *Upstream)
 }
 
 // Seal is the value of X-Response-Seal. Streams append a dot and the upstream's ID.
@@ -191,6 +194,7 @@
 	run := u.startRun(req, body)
 	defer func() { u.endRun(run, "cut") }()
 	u.waitReleased(req)
+	u.crashIfDue(w, run)
 	if fault == Silent {
 		<-req.Context().Done()
 		return
