Requests with a prompt segment that ends upstreams are quarantined

Cause: no daemon related the end of an upstream to the content of what ran there. Failures were kept by upstream only, so a request that is itself the cause was sent on, by all daemons, as if the upstreams had been at fault. Class: a failure that travels with the request, charged to the server.

Now package quarantine keeps evidence by segment: an upstream that had not announced its leaving, whose answer had a head and no event, and whose address refuses connections (a reset, a cut or a suspended daemon is no evidence). Ends count only one after the other, each under a request sent after the last, so that a reclaim is one piece of evidence; a whole response voids all. The evidence travels in the States, so every daemon concludes the same without a decider that could be lost. After three such ends requests with the segment get 422 at once: another status would invite them back. They are checked again just before each send, for retries, resumed streams and requests that waited. A request that ends an upstream is not sent on if its segments had evidence before. Quarantines are rows in the store. One request, permitted by one arbiter, is tried after 5 s: it releases a segment that was blamed wrongly.

--- a/internal/node/limiter.go
+++ b/internal/node/limiter.go
@@ -60,6 +60,8 @@
 func (l *limiter) answer(ctx context.Context, q *meshpb.Question) *meshpb.Answer {
 	n, now := l.node, boottime.Now()
 	switch {
+	case q.Segment != 0:
+		return n.quarantine.answer(ctx, q, true)
 	case q.Upstream != 0:
 		return n.throttle.answer(ctx, q)
 	case q.Customer == "":
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,6 +122,7 @@
 	limiter      *limiter
 	quota        *quota.Limiter
 	throttle     *upstreamThrottle
+	quarantine   *segmentQuarantine
 	retryBudget  *proxy.RetryBudget
 	workMeter    *proxy.WorkMeter
 	pool         *egress.Pool
@@ -133,6 +134,7 @@
 	configView   *views.View
 	upstreamView *views.View
 	daemonView   *views.View
+	segmentView  *views.View // of quarantineTable
 	roster       *rosterBuilder
 	metrics      *metrics
 	grace        atomic.Int64 // time.Duration of the grace period; see Settings.Grace
@@ -157,6 +159,7 @@
 	}
 	n.limiter = &limiter{n}
 	n.throttle = newUpstreamThrottle(n)
+	n.quarantine = newSegmentQuarantine(n)
 	n.retryBudget.AskHub = n.limiter.askHubRetry
 	n.grace.Store(int64(s.Grace))
 	n.roster = newRosterBuilder(n)
@@ -165,6 +168,7 @@
 		Placer:        n.placer,
 		Quota:         n.limiter,
 		Throttle:      n.throttle,
+		Quarantine:    n.quarantine,
 		Pool:          n.pool,
 		Budget:        n.retryBudget,
 		Work:          n.workMeter,
@@ -188,7 +192,7 @@
 	n.mesh = mesh.New(mesh.Config{
 		Self:        &meshpb.Daemon{Name: n.Name, Born: n.incarnation, Address: n.MeshAddress, Zone: n.Zone, Size: n.Size},
 		Seeds:       n.Seeds,
-		Views:       map[string]*views.View{n.ConfigTable: n.configView, n.UpstreamTable: n.upstreamView, daemonTable: n.daemonView},
+		Views:       map[string]*views.View{n.ConfigTable: n.configView, n.UpstreamTable: n.upstreamView, daemonTable: n.daemonView, quarantineTable: n.segmentView},
 		Log:         n.log.Named("mesh"),
 		Fill:        n.fillState,
 		OnState:     n.onState,
@@ -278,7 +282,7 @@
 	dutyCtx, stopDuty := context.WithCancel(servicesCtx)
 	defer stopDuty()
 	g, gctx := errgroup.WithContext(ctx)
-	for _, v := range []*views.View{n.configView, n.upstreamView, n.daemonView} {
+	for _, v := range []*views.View{n.configView, n.upstreamView, n.daemonView, n.segmentView} {
 		go v.Run(servicesCtx) // not awaited: a read may outlast the drain and holds no resources
 	}
 	g.Go(func() error { return n.mesh.Run(servicesCtx) })
@@ -320,6 +324,7 @@
 		case <-ticker.C:
 		}
 		n.updateCounts()
+		n.quarantine.tick()
 		for _, name := range n.mesh.Unreachable() {
 			n.quota.DropDemand(name)
 			n.placer.DropLoads(name)
@@ -328,6 +333,7 @@
 			n.pool.Sweep()
 			n.throttle.prune()
 			n.writeOwnRow(ctx)
+			n.quarantine.writeRows(ctx)
 		}
 	}
 }
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -78,6 +78,7 @@
 	for _, l := range n.throttle.gate.Limits.Statements(since == 0, boottime.Now()) {
 		s.Limits = append(s.Limits, &meshpb.Limit{Upstream: l.Hash, Rate: l.Rate, AgeMs: uint32(l.Age.Milliseconds())})
 	}
+	s.Suspects = mesh.EncodeSuspects(n.quarantine.table.Statements(since == 0, boottime.Now()))
 	if epoch, ok := n.Clock.Epoch(); ok {
 		s.EpochMs = epoch.Milliseconds()
 	}
@@ -156,6 +157,7 @@
 		n.roster.markLeaving(roster.Key{ID: g.Upstream, Incarnation: g.Born}, s.Self.Name)
 	}
 	n.throttle.merge(s.Limits, s.Self.Name)
+	n.quarantine.merge(s.Suspects, s.Self.Name)
 	for _, t := range s.Tallies {
 		windows := make([]usage.Window, len(t.Windows))
 		for i, w := range t.Windows {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -71,6 +71,7 @@
 		n.metrics.write(c)
 		n.writeGauges(c)
 		n.throttle.writeMetrics(c)
+		n.quarantine.writeMetrics(c)
 	default:
 		c.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -20,21 +20,22 @@
 type result int
 
 const (
-	done      result = iota // a response was sent to the caller
-	unsent                  // no byte of the request was sent
-	refused                 // the upstream stated that it did not run the request
-	misplaced               // another upstream now has the address
-	lost                    // the upstream may have run the request; nothing was relayed yet
-	broken                  // the upstream failed after a part of the stream was relayed
-	expired                 // the deadline passed
-	gone                    // the caller closed the connection or does not read the response
-	unplaced                // no upstream could be chosen
-	throttled               // no byte was sent: the rate that the upstream names allows no request now
+	done        result = iota // a response was sent to the caller
+	unsent                    // no byte of the request was sent
+	refused                   // the upstream stated that it did not run the request
+	misplaced                 // another upstream now has the address
+	lost                      // the upstream may have run the request; nothing was relayed yet
+	broken                    // the upstream failed after a part of the stream was relayed
+	expired                   // the deadline passed
+	gone                      // the caller closed the connection or does not read the response
+	unplaced                  // no upstream could be chosen
+	throttled                 // no byte was sent: the rate that the upstream names allows no request now
+	quarantined               // no byte was sent: the prompt has a segment in quarantine
 )
 
 // String returns the name used in logs.
 func (r result) String() string {
-	return [...]string{"done", "unsent", "refused", "misplaced", "lost", "broken", "expired", "gone", "unplaced", "throttled"}[r]
+	return [...]string{"done", "unsent", "refused", "misplaced", "lost", "broken", "expired", "gone", "unplaced", "throttled", "quarantined"}[r]
 }
 
 const (
@@ -94,7 +95,7 @@
 		return place.Refused
 	case misplaced:
 		return place.Misplaced
-	case expired, gone, throttled:
+	case expired, gone, throttled, quarantined:
 		return place.Canceled
 	}
 	return place.Failed
@@ -121,6 +122,10 @@
 		conn.Release()
 		return a.applyContext(ctx, expired), nil
 	}
+	if a.mustNotTry() {
+		conn.Release()
+		return a.applyContext(ctx, quarantined), errQuarantined
+	}
 	if res, forbidden := a.mustNotSend(); forbidden {
 		conn.Release()
 		return a.applyContext(ctx, res), errInvariant
@@ -134,6 +139,9 @@
 	switch res {
 	case done:
 		conn.Release()
+		if status := a.head.StatusCode(); status >= 200 && status < 300 {
+			a.Quarantine.Completed(a.service.Name, a.req.SharedPrompt())
+		}
 	case refused, misplaced:
 		a.drainBody()
 		conn.Release()
--- a/internal/proxy/brokenanswer.go
+++ b/internal/proxy/brokenanswer.go
@@ -36,9 +36,16 @@
 	Upstream *roster.Upstream
 	Stage    Stage
 	SentAt   time.Duration // boot time
-	FirstAge time.Duration // since the first event arrived; 0 if none did
+	// Suspended is set if this VM was suspended since then. The connection may then have
+	// ended at any time.
+	Suspended bool
+	FirstAge  time.Duration // since the first event arrived; 0 if none did
 }
 
+// maxClockGap is how much the boot clock may run ahead of the monotonic clock, which stops
+// while the VM is suspended.
+const maxClockGap = 500 * time.Millisecond
+
 // maxListedSegments bounds the segments in one log line.
 const maxListedSegments = 16
 
@@ -78,6 +85,7 @@
 		return
 	}
 	b := BrokenAnswer{Request: a.req, Service: a.service.Name, Upstream: a.choice.Upstream, SentAt: a.sentAt}
+	b.Suspended = boottime.Now()-a.sentAt > time.Since(a.startTime)+maxClockGap
 	switch {
 	case a.responded:
 		b.Stage, b.FirstAge = AfterEvent, boottime.Now()-a.firstAt
@@ -85,4 +93,7 @@
 		b.Stage = BeforeEvent
 	}
 	a.Observer.AnswerBroken(b)
+	if !a.Quarantine.Broken(ctx, b) {
+		a.endedOne = true
+	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -9,7 +9,8 @@
 //   - an incomplete response never looks complete to the caller;
 //   - a status that means "not run" is sent only for requests that did not run and
 //     never will;
-//   - a request is sent to an upstream that names a request rate only with a permit.
+//   - a request is sent to an upstream that names a request rate only with a permit;
+//   - a request with a prompt segment in quarantine is not sent, but for single trials.
 package proxy
 
 import (
@@ -24,6 +25,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/egress"
 	"github.com/lagoonmux/lagoonmux/internal/ingress"
 	"github.com/lagoonmux/lagoonmux/internal/membudget"
+	"github.com/lagoonmux/lagoonmux/internal/quarantine"
 	"github.com/lagoonmux/lagoonmux/internal/quota"
 	"github.com/lagoonmux/lagoonmux/internal/roster"
 	"github.com/lagoonmux/lagoonmux/internal/routing/place"
@@ -129,17 +131,33 @@
 	Acquire(ctx context.Context, u *roster.Upstream) (wait time.Duration, err error)
 }
 
+// Quarantine keeps requests from upstreams that would end under them. Its methods must be
+// safe for concurrent use. segments are those that other requests may share.
+type Quarantine interface {
+	// Check returns why a request must not be sent, nil if it may be.
+	Check(service string, segments []place.Segment) *quarantine.Verdict
+	// StartTrial asks for the permit to send one request with a segment in spite of its
+	// quarantine, at once.
+	StartTrial(ctx context.Context, s quarantine.Segment) bool
+	// Broken records a response that its upstream broke off, and reports whether the
+	// request may be sent to another upstream.
+	Broken(ctx context.Context, b BrokenAnswer) (mayRerun bool)
+	// Completed records a whole response with a success status.
+	Completed(service string, segments []place.Segment)
+}
+
 // Config holds the dependencies of a Proxy.
 type Config struct {
-	Codec    Codec
-	Placer   *place.Placer
-	Quota    Limiter
-	Throttle Throttle
-	Pool     *egress.Pool
-	Budget   *RetryBudget
-	Work     *WorkMeter
-	Observer Observer
-	Log      hclog.Logger
+	Codec      Codec
+	Placer     *place.Placer
+	Quota      Limiter
+	Throttle   Throttle
+	Quarantine Quarantine
+	Pool       *egress.Pool
+	Budget     *RetryBudget
+	Work       *WorkMeter
+	Observer   Observer
+	Log        hclog.Logger
 	// ConfigFresh reports whether the configuration is known to be the newest. Only then
 	// is a request with an unknown route or key denied permanently; otherwise its caller
 	// may retry.
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -70,7 +70,7 @@
 // recordAttempt appends an attempt that ended.
 func (r *Record) recordAttempt(c place.Choice, res result, err error) {
 	a := Attempt{Upstream: c.Upstream.ID, Result: res.String(), Prefill: c.Prefill}
-	if res == unsent || res == throttled {
+	if res == unsent || res == throttled || res == quarantined {
 		a.Prefill = 0
 	}
 	r.Attempts = append(r.Attempts, a)
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -57,6 +57,8 @@
 	urgency  int             // see UpstreamParams
 	excluded map[string]bool // ids of upstreams that were tried
 	sends    int             // upstreams to which the request was sent
+	trialAt  time.Duration   // boot time of the permit to send it in spite of a quarantine; 0 for none
+	endedOne bool            // an upstream ended under it, and it must not be sent to another one
 	stream   eventStream
 	record   Record
 }
@@ -104,6 +106,9 @@
 	if t.outlastsDrain(t.x.Arrived, t.deadline) {
 		return &localReply{fasthttp.StatusServiceUnavailable, shortRetryAfter, "daemon stops before the request's deadline"}
 	}
+	if r := t.checkQuarantine(ctx); r != nil {
+		return r
+	}
 	return t.charge(ctx)
 }
 
@@ -177,13 +182,13 @@
 	}
 }
 
-// sendLocalReply sends a response of the daemon's own. After a 503, which means that the
-// request did not run, it refunds the charge.
+// sendLocalReply sends a response of the daemon's own. After a status which means that the
+// request did not run it refunds the charge.
 func (t *task) sendLocalReply(r localReply) {
 	r = t.enforceNotRun(r)
 	t.record.Status, t.record.Reason = r.status, r.reason
 	t.record.RetryAfter = r.retryAfter
-	if r.status == fasthttp.StatusServiceUnavailable {
+	if r.status == fasthttp.StatusServiceUnavailable || r.status == fasthttp.StatusUnprocessableEntity {
 		t.refund()
 	}
 	resp := fasthttp.AcquireResponse()
@@ -300,7 +305,7 @@
 // shouldRetry reports whether to try another upstream after an attempt with result r. A
 // retry after a send counts against the retry budget.
 func (t *task) shouldRetry(ctx context.Context, r result) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || t.endedOne {
 		return false
 	}
 	if ablation.Disabled(ablation.Reruns) && (r == lost || r == broken) {
@@ -348,13 +353,15 @@
 		}
 	case unsent, refused, misplaced, throttled:
 		reply.status, reply.retryAfter = fasthttp.StatusServiceUnavailable, shortRetryAfter
+	case quarantined:
+		reply.status = fasthttp.StatusUnprocessableEntity
 	case expired:
 		reply.status = fasthttp.StatusGatewayTimeout
 		if !t.record.MayHaveRun {
 			reply.status, reply.retryAfter = fasthttp.StatusServiceUnavailable, shortRetryAfter
 		}
 	}
-	if t.record.MayHaveRun && reply.status == fasthttp.StatusServiceUnavailable {
+	if t.record.MayHaveRun && (reply.status == fasthttp.StatusServiceUnavailable || reply.status == fasthttp.StatusUnprocessableEntity) {
 		reply.status, reply.retryAfter = fasthttp.StatusBadGateway, 0
 	}
 	t.sendLocalReply(reply)
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,195 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/routing/place"
+)
+
+const (
+	service = "engines"
+	settle  = time.Second
+)
+
+// fixture is a table with a virtual clock.
+type fixture struct {
+	*Table
+	now  time.Duration
+	next uint64
+}
+
+func newFixture() *fixture { return &fixture{Table: NewTable(), now: time.Hour} }
+
+func segments(ids ...uint64) []place.Segment {
+	list := make([]place.Segment, len(ids))
+	for i, id := range ids {
+		list[i].ID = id
+	}
+	return list
+}
+
+// end ends an upstream under a request that was sent 200 ms before.
+func (f *fixture) end(ids ...uint64) (repeated bool) {
+	f.next++
+	repeated, _ = f.Ended(service, segments(ids...), End{f.next, f.now - 200*time.Millisecond, f.now}, f.now)
+	return repeated
+}
+
+// pass lets time pass and returns the segments that were quarantined meanwhile.
+func (f *fixture) pass(d time.Duration) (list []uint64) {
+	for end := f.now + d; f.now < end; f.now += 100 * time.Millisecond {
+		for _, c := range f.Tick(settle, f.now) {
+			if c.Kind == Quarantined {
+				list = append(list, c.ID)
+			}
+		}
+	}
+	return list
+}
+
+func (f *fixture) refuses(ids ...uint64) bool {
+	return f.Check(service, segments(ids...), 0, f.now) != nil
+}
+
+// TestSegmentIsQuarantinedAfterSuccessiveEnds checks that only the segment which all ends
+// have in common is blamed, although others were there more than once.
+func TestSegmentIsQuarantinedAfterSuccessiveEnds(t *testing.T) {
+	f := newFixture()
+	assert.Assert(t, !f.end(1, 9, 20))
+	f.pass(time.Second)
+	assert.Assert(t, f.end(1, 9, 20), "the second request that ends an upstream is not to be repeated")
+	f.Completed(service, segments(1), f.now)
+	assert.Assert(t, len(f.pass(time.Second)) == 0)
+	f.end(1, 9, 21)
+	assert.DeepEqual(t, f.pass(time.Second), []uint64{9})
+	assert.Assert(t, f.refuses(1, 9) && !f.refuses(1, 20))
+	assert.Assert(t, f.Check("other", segments(9), 0, f.now) == nil, "other services")
+}
+
+// TestSimultaneousEndsAreOnePieceOfEvidence ends many upstreams at once, as a reclaim does,
+// while each has just begun to answer a request with a segment that is new and popular.
+func TestSimultaneousEndsAreOnePieceOfEvidence(t *testing.T) {
+	f := newFixture()
+	for range 2 {
+		for range 10 {
+			f.end(5)
+		}
+		assert.Assert(t, len(f.pass(2*time.Second)) == 0)
+	}
+}
+
+// TestWholeAnswerVoidsEvidence checks that a segment whose requests are answered is never
+// blamed, however many upstreams end, and whichever daemon answers.
+func TestWholeAnswerVoidsEvidence(t *testing.T) {
+	for name, completedFirst := range map[string]bool{"answered before": true, "answered later": false} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newFixture(), newFixture()
+			for range 20 {
+				if completedFirst {
+					b.Completed(service, segments(7), b.now)
+				}
+				a.end(7)
+				if !completedFirst {
+					b.Completed(service, segments(7), b.now)
+				}
+				for range 8 {
+					b.Merge(a.Statements(false, a.now), b.now)
+					a.Merge(b.Statements(false, b.now), a.now)
+					assert.Assert(t, len(a.pass(100*time.Millisecond))+len(b.pass(100*time.Millisecond)) == 0)
+				}
+			}
+			assert.Assert(t, !a.refuses(7) && !b.refuses(7))
+		})
+	}
+}
+
+// TestTrialReleasesOrConfirms checks that a segment which was blamed wrongly is released by
+// the first trial, and that few trials end upstreams.
+func TestTrialReleasesOrConfirms(t *testing.T) {
+	blame := func() *fixture {
+		f := newFixture()
+		for range independentEnds {
+			f.end(9)
+			f.pass(time.Second)
+		}
+		assert.Assert(t, f.refuses(9))
+		return f
+	}
+	software := uint32(1)
+	softwareOf := func(string) uint32 { return software }
+	hash := Segment{service, 9}.Hash()
+
+	f := blame()
+	f.pass(firstTrial)
+	assert.Assert(t, f.Check(service, segments(9), 1, f.now).TrialDue)
+	assert.Assert(t, f.StartTrial(hash, softwareOf, f.now))
+	assert.Assert(t, !f.StartTrial(hash, softwareOf, f.now), "one at a time")
+	changes := f.Completed(service, segments(9), f.now)
+	assert.Assert(t, len(changes) == 1 && changes[0].Kind == Released)
+	assert.Assert(t, !f.refuses(9))
+
+	f = blame()
+	trials := 0
+	for range 600 { // ten minutes
+		if f.StartTrial(hash, softwareOf, f.now) {
+			trials++
+			f.end(9)
+		}
+		f.pass(time.Second)
+	}
+	assert.Equal(t, trials, 1)
+	list, _ := f.Quarantined(f.now)
+	assert.Assert(t, len(list) == 1 && list[0].Confirmed)
+	software = 2
+	assert.Assert(t, f.StartTrial(hash, softwareOf, f.now), "all upstreams run other software")
+	f.pass(time.Minute)
+	assert.Assert(t, !f.refuses() && f.refuses(9))
+
+	f, software = blame(), 1
+	trials = 0
+	for range 600 { // trials that show nothing
+		if f.StartTrial(hash, softwareOf, f.now) {
+			trials++
+		}
+		f.pass(time.Second)
+	}
+	assert.Assert(t, trials <= 3, "%d trials in ten minutes", trials)
+}
+
+// TestEvidenceIsBounded accuses a new segment with every request.
+func TestEvidenceIsBounded(t *testing.T) {
+	f := newFixture()
+	for i := range uint64(20000) {
+		f.end(10*i, 10*i+1, 10*i+2)
+		f.Completed(service, segments(10*i+3, 10*i+4), f.now)
+	}
+	assert.Assert(t, len(f.suspects) <= maxSuspects)
+	assert.Assert(t, len(f.completed.newer)+len(f.completed.older) <= 2*maxRecent)
+	for range 3 {
+		f.end(9)
+		f.pass(time.Second)
+	}
+	assert.Assert(t, f.refuses(9), "there is room for stronger evidence")
+}
+
+// TestMalformedStatementsAreDropped checks that what no daemon can have meant changes nothing.
+func TestMalformedStatementsAreDropped(t *testing.T) {
+	f := newFixture()
+	s := Segment{service, 9}
+	for i, bad := range []Statement{
+		{Segment: Segment{"", 9}, Quarantined: true},
+		{Segment: s, Quarantined: true, QuarantineAge: -time.Second},
+		{Segment: s, Cleared: true, ClearedAge: -time.Hour},
+		{Segment: s, Ends: []EndAge{{1, time.Second, 2 * time.Second}}},
+		{Segment: s, Ends: []EndAge{{1, time.Second, -time.Second}}},
+	} {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			assert.Equal(t, len(f.Merge([]Statement{bad}, f.now)), 0)
+			assert.Equal(t, len(f.suspects), 0)
+		})
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -15,6 +15,7 @@
 	Service     string
 	Address     string
 	Zone        string
+	Software    string        // version of its software; empty if unknown
 	Slots       int           // requests that it can run at once
 	Leaving     bool          // is shutting down; gets no new requests
 	Reclaimable bool          // the cloud may reclaim it, together with all others in its zone
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -23,6 +23,7 @@
 	Silent               // runs the request and sends nothing until the client disconnects
 	CutEvent             // sends half of the events and half of the next one, then aborts
 	CutHead              // closes the connection within the response head
+	CutAfterHead         // closes the connection after the response head
 	WrongID              // responds with the attempt ID of another request
 	NoSeal               // responds without X-Response-Seal
 	NoID                 // responds without X-Attempt-Id
@@ -384,6 +385,10 @@
 	}
 	w.Header().Set("X-Response-Seal", Seal+"."+u.ID)
 	flush, _ := w.(http.Flusher)
+	if fault == CutAfterHead {
+		flush.Flush()
+		panic(http.ErrAbortHandler)
+	}
 	for n := run.LastEventID + 1; n <= events; n++ {
 		text := Event(run.ID, n)
 		if fault == CutEvent && n > events/2 {
