--- a/internal/mesh/quarantine_test.go
+++ b/internal/mesh/quarantine_test.go
@@ -18,7 +18,6 @@
 // crashContact after the end of the crashCount-th upstream, at most crashSends requests with
 // the segment reach upstreams.
 const (
-	crashContact = 5 * time.Second
 	crashCount   = 5
 	crashSends   = 3
 	crashService = "engines"
@@ -26,6 +25,17 @@
 	runTime      = 300 * time.Millisecond // from sending a request to its answer or the end of its upstream
 )
 
+// crashContact returns the bound for a deployment of n daemons.
+func crashContact(n int) time.Duration {
+	switch {
+	case n <= maxDirect:
+		return 3 * time.Second
+	case n <= 100:
+		return 4 * time.Second
+	}
+	return 5 * time.Second
+}
+
 // crashCluster simulates the daemons of a deployment whose upstreams end under requests with
 // one segment.
 type crashCluster struct {
@@ -175,7 +185,7 @@
 		return 0
 	}
 	for _, at := range c.sends {
-		if at > c.ends[crashCount-1]+crashContact {
+		if at > c.ends[crashCount-1]+crashContact(len(c.nodes)) {
 			n++
 		}
 	}
