An unframed stream that ends before its first event is not whole

A stream that ended right after such a head was passed on as a 200 without events, or, when it resumed another, ended that one as complete; a runner that crashes there looks just so. Cause: the end of the connection was taken for the end of the stream whether or not anything had come. Now the attempt is lost or broken, as with a stream that ends inside an event, and counts as such for the quarantine of segments. A stream that ends between two events cannot be told from a whole one.

TestUnframedStreams: 'ends before event' failed in both variants, the four other cases passed before; TestUnframedPlainAnswer passed before.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -179,6 +179,10 @@
 // for a HEAD request.
 func (c *Conn) ExpectNoBody() { c.bodyLength, c.remaining = 0, 0 }
 
+// EndsWithConnection reports whether the response has neither a length nor chunks, so that
+// its end cannot be distinguished from that of the upstream.
+func (c *Conn) EndsWithConnection() bool { return c.bodyLength == framing.UntilClose }
+
 // ReadBody appends the bytes of the body that arrive next to dst. It returns io.EOF,
 // with the last bytes, when the body is complete. After ErrTimeout it can be called
 // again.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -189,7 +189,10 @@
 func (a *attempt) endStream(pending []byte) (result, error) {
 	a.record.MaxGap = a.stream.maxGap
 	if len(pending) > 0 {
-		return a.lostOrBroken(), errors.New("response ends within an event")
+		return a.lostOrBroken(), errors.Wrap(io.ErrUnexpectedEOF, "response ends within an event")
+	}
+	if a.conn.EndsWithConnection() && !a.responded {
+		return a.lostOrBroken(), errors.Wrap(io.ErrUnexpectedEOF, "response without a length ends before its first event")
 	}
 	if !a.stream.started {
 		resp := fasthttp.AcquireResponse() // a response without events
--- a/internal/standin/site/crash.go
+++ b/internal/standin/site/crash.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -65,3 +66,16 @@
 	u.End()
 	panic(http.ErrAbortHandler) // without it the server would complete the response
 }
+
+// SharedFault is a fault of the first request that arrives at any of several upstreams.
+type SharedFault struct {
+	Fault Fault
+	used  atomic.Bool
+}
+
+// SetSharedFault applies a fault to the next request, if no other upstream was first.
+func (u *Upstream) SetSharedFault(f *SharedFault) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.sharedFault = f
+}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -17,32 +17,34 @@
 
 // Faults of upstreams. A sealed response carries X-Response-Seal.
 const (
-	NoFault        Fault = iota
-	Refuse               // responds 503 with X-Not-Executed and does not run the request
-	Reset                // runs the request, then closes the connection without a response
-	Silent               // runs the request and sends nothing until the client disconnects
-	CutEvent             // sends half of the events and half of the next one, then aborts
-	CutHead              // closes the connection within the response head
-	CutAfterHead         // closes the connection after the response head
-	WrongID              // responds with the attempt ID of another request
-	NoSeal               // responds without X-Response-Seal
-	NoID                 // responds without X-Attempt-Id
-	UntilClose           // sends no length; the body ends when the connection closes
-	ShortBody            // sends fewer bytes than Content-Length says
-	ExtraResponse        // sends a second response after the first
-	InternalError        // responds 500, sealed
-	Unavailable          // responds 503, sealed, without saying whether the request ran
-	Misplaced            // responds 421 as if addressed to another upstream, and does not run the request
-	BadChunks            // sends a malformed chunk
-	DuplicateEvent       // sends the second event twice, so that later events are one behind
-	EarlyResponse        // responds without reading the request body
-	TwoLengths           // sends Content-Length twice
-	EndlessHead          // sends a head that never ends
-	EndlessLine          // sends a chunk-size line that never ends
-	EndlessTrailer       // sends trailer fields without end
-	EndlessBody          // sends a body (for streams: one event) that never ends
-	EndlessChunks        // sends such a body in chunks
-	EndlessInterim       // sends 102 responses without end
+	NoFault           Fault = iota
+	Refuse                  // responds 503 with X-Not-Executed and does not run the request
+	Reset                   // runs the request, then closes the connection without a response
+	Silent                  // runs the request and sends nothing until the client disconnects
+	CutEvent                // sends half of the events and half of the next one, then aborts
+	CutHead                 // closes the connection within the response head
+	CutAfterHead            // closes the connection after the response head
+	WrongID                 // responds with the attempt ID of another request
+	NoSeal                  // responds without X-Response-Seal
+	NoID                    // responds without X-Attempt-Id
+	UntilClose              // sends no length; the body ends when the connection closes
+	ShortBody               // sends fewer bytes than Content-Length says
+	ExtraResponse           // sends a second response after the first
+	InternalError           // responds 500, sealed
+	Unavailable             // responds 503, sealed, without saying whether the request ran
+	Misplaced               // responds 421 as if addressed to another upstream, and does not run the request
+	BadChunks               // sends a malformed chunk
+	DuplicateEvent          // sends the second event twice, so that later events are one behind
+	EarlyResponse           // responds without reading the request body
+	TwoLengths              // sends Content-Length twice
+	UntilCloseInEvent       // like UntilClose, and a stream ends within its third event
+	UntilCloseNoEvent       // like UntilClose, and a stream ends after its head
+	EndlessHead             // sends a head that never ends
+	EndlessLine             // sends a chunk-size line that never ends
+	EndlessTrailer          // sends trailer fields without end
+	EndlessBody             // sends a body (for streams: one event) that never ends
+	EndlessChunks           // sends such a body in chunks
+	EndlessInterim          // sends 102 responses without end
 )
 
 // Run records a request that an upstream started to run.
@@ -74,8 +76,9 @@
 	refused       int
 	header        http.Header // added to all responses
 	refusalHeader http.Header // added to refusals
-	crashSegment  string      // prompt segment that ends the upstream; empty for none
-	endedAt       time.Time   // zero unless it has ended
+	sharedFault   *SharedFault
+	crashSegment  string    // prompt segment that ends the upstream; empty for none
+	endedAt       time.Time // zero unless it has ended
 	onEnd         func(u *Upstream)
 }
 
@@ -161,6 +164,9 @@
 func (u *Upstream) nextFault() Fault {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if f := u.sharedFault; f != nil && f.used.CompareAndSwap(false, true) {
+		return f.Fault
+	}
 	if u.faultsLeft == 0 {
 		return NoFault
 	}
@@ -374,6 +380,28 @@
 // Event returns the n-th event of the run with the given ID, counted from 1.
 func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
+// unframedStream returns the bytes of a stream that has no length and no chunks, if the
+// fault says so.
+func (u *Upstream) unframedStream(fault Fault, run *Run, events int) (text string, ok bool) {
+	switch fault {
+	case UntilClose:
+	case UntilCloseInEvent:
+		events = 2
+	case UntilCloseNoEvent:
+		events = 0
+	default:
+		return "", false
+	}
+	text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + run.ID + "\r\nX-Response-Seal: " + Seal + "." + u.ID + "\r\n\r\n"
+	for n := run.LastEventID + 1; n <= events; n++ {
+		text += Event(run.ID, n)
+	}
+	if fault == UntilCloseInEvent {
+		text += Event(run.ID, 3)[:9]
+	}
+	return text, true
+}
+
 func (u *Upstream) serveStream(w http.ResponseWriter, req *http.Request, run *Run, fault Fault) {
 	u.mu.Lock()
 	events, gap := u.events, u.gap
@@ -384,6 +412,11 @@
 		w.Header().Set("X-Attempt-Id", "0000")
 	}
 	w.Header().Set("X-Response-Seal", Seal+"."+u.ID)
+	if text, ok := u.unframedStream(fault, run, events); ok {
+		hijack(w, func(bw *bufio.Writer) { _, _ = bw.WriteString(text) })
+		u.endRun(run, "done")
+		return
+	}
 	flush, _ := w.(http.Flusher)
 	if fault == CutAfterHead {
 		flush.Flush()
