--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -32,6 +32,7 @@
 type Page struct {
 	Rows    []Row
 	Version int64 // newest version of the store, not only of this table
+	Era     int64 // rises each time the store is restored from a copy; 0 if it has none
 }
 
 // Source reads tables of the store. Its methods are safe for concurrent use; their errors
@@ -112,6 +113,7 @@
 	listed        bool               // all rows were read, and all changes since then up to readTo
 	readAt        time.Duration      // boot time of the store's last response; 0 for none
 	upSince       time.Duration      // boot time of the first response since the last error; 0 while the store does not respond
+	era           int64              // of the store at its last response
 	delegatedAt   time.Duration      // boot time at which Delegated last returned true
 }
 
@@ -231,6 +233,8 @@
 	}
 	v.readAt = now
 	v.readTo = max(v.readTo, page.Version)
+	before := v.era
+	v.era = max(v.era, page.Era)
 	dirty := v.expireHeld(now)
 	newest := v.newestVersion // an older row that is unknown here may have been removed by a newer change from a peer
 	for _, r := range page.Rows {
@@ -245,6 +249,9 @@
 	}
 	held := len(v.held)
 	v.mu.Unlock()
+	if page.Era > before && before > 0 {
+		v.Log.Warn("store restored from a copy", "table", v.Table, "era", page.Era, "era_before", before, "version", page.Version, "newest_known", newest)
+	}
 	if recovered {
 		v.Log.Info("store reached", "table", v.Table, "after", outage, "version", page.Version, "held", held)
 	}
@@ -341,6 +348,13 @@
 	return v.newestVersion
 }
 
+// Era returns the store's era at its last response.
+func (v *View) Era() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.era
+}
+
 // UpFor returns the time since the first response after the last failed read, 0 while
 // reads fail.
 func (v *View) UpFor() time.Duration {
