--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -356,6 +356,9 @@
 	n.log.Info("settings reloaded", "seeds", s.Seeds, "grace", s.Grace)
 }
 
+// HoldsDuty reports whether this daemon holds the fleet duty.
+func (n *Node) HoldsDuty() bool { return n.duty != nil && n.duty.Token() != 0 }
+
 // Upstreams returns the number of known upstreams that accept requests.
 func (n *Node) Upstreams() int {
 	sum := 0
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -44,11 +44,13 @@
 	changed   chan struct{} // closed at the next change
 	writes    int
 	reads     int
+	era       int64         // rises with each Restore
+	restored  chan struct{} // closed at the next Restore
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{start: time.Now().Add(-time.Hour), rows: make(map[rowID]Row), changed: make(chan struct{})}
+	return &Store{start: time.Now().Add(-time.Hour), rows: make(map[rowID]Row), changed: make(chan struct{}), era: 1, restored: make(chan struct{})}
 }
 
 // Endpoint is one address of a store, with faults of its own. Daemons that use
@@ -61,6 +63,7 @@
 	mu            sync.Mutex
 	errorStatus   int           // HTTP status of every response; 0 serves calls
 	silent        bool          // calls get no response
+	oldResponses  bool          // calls that a restore overtakes get their response
 	loseResponses bool          // writes are executed but get no response
 	delay         time.Duration // before each call is executed
 }
@@ -144,7 +147,11 @@
 			w.WriteHeader(status)
 			return
 		}
+		era, restored := e.store.currentEra()
 		status, body := h(r)
+		if r.Context().Err() == nil && isClosed(restored) && !e.keepOldResponses() {
+			panic(http.ErrAbortHandler) // the connection ended with the store
+		}
 		if statusNow, silentNow, _, _ := e.faults(); silentNow {
 			<-r.Context().Done() // SetSilent was called while h waited for a change
 			return
@@ -155,6 +162,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 		w.WriteHeader(status)
 		_ = json.NewEncoder(w).Encode(body)
 	}
@@ -211,7 +219,7 @@
 	for {
 		s.mu.Lock()
 		s.reads++
-		if after < s.compacted {
+		if after < s.compacted || after > s.version {
 			s.mu.Unlock()
 			return http.StatusGone, nil
 		}
@@ -222,13 +230,15 @@
 			}
 		}
 		slices.SortFunc(rows, func(a, b Row) int { return int(a.Ver - b.Ver) })
-		p, changed := s.page(rows), s.changed
+		p, changed, restored := s.page(rows), s.changed, s.restored
 		s.mu.Unlock()
 		if len(rows) > 0 {
 			return http.StatusOK, p
 		}
 		select {
 		case <-changed:
+		case <-restored:
+			return http.StatusOK, p
 		case <-timer.C:
 			return http.StatusOK, p
 		case <-r.Context().Done():
