Versions of the store are ordered by its era, also those of tokens and reports

Cause: versions were compared as if they only rose, in each place that keeps one: rows and the reading position of views, tables between daemons, preconditions of writes; the fencing token and the newest reported window were derived from a row that can go back. Class: a counter of another system taken for a clock.

Now the adapter makes a version of the era and the number that the store gave out, so that every comparison holds as it is; only the adapter knows the header. A read after a version of an earlier era is a list at once, also while a long poll waits; a write with such a version is a conflict. Rows that the copy lacks are held for their owners as after an outage, and owners are told after each restore, even if the view had never seen their row. Messages between daemons carry the era in a field of its own: builds without it still read the number. Tokens of a later era are higher than all before; the newest final window travels in the States, and if nobody is left who knows it, ended windows are left out rather than reported twice.

Ruled out: accepting lower versions whenever the store answers 410 (answers from before and after cross, and a number given out again looks newer).

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -17,6 +17,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -26,6 +27,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/capacity"
 	"github.com/lagoonmux/lagoonmux/internal/chart"
 	"github.com/lagoonmux/lagoonmux/internal/usage"
+	"github.com/lagoonmux/lagoonmux/internal/views"
 	"github.com/lagoonmux/lagoonmux/internal/wallclock"
 )
 
@@ -91,12 +93,14 @@
 	ErrRejected = errors.New("cloud rejected the call")
 )
 
-// Store is the part of the platform's store that Duty uses. Its errors name the
+// Store is the part of the platform's store that Duty uses. Versions are those of package
+// views. Its errors name the
 // operation and the peer. After an error other than ErrConflict the outcome of a
 // write is unknown: it may have been applied, or may still be if the row then has
 // the expected version.
 type Store interface {
-	// Read returns the value and version of a row, version 0 if there is no such row.
+	// Read returns the value and version of a row. If there is no such row, the value is nil
+	// and the version the one to create it with.
 	Read(ctx context.Context, table, key string) (value []byte, version int64, err error)
 	// Write replaces the row if it has the given version, and returns the new version.
 	Write(ctx context.Context, table, key string, value []byte, version int64) (int64, error)
@@ -141,6 +145,7 @@
 	EpochMS     int64         `json:"epoch_ms"` // unix time minus the store's clock
 	Finalized   int64         `json:"reported"` // newest final window
 	Pending     []UsageReport `json:"pending"`  // final, not known to have been accepted
+	Era         int64         `json:"era"`      // of the store when the row was written
 	// OpenCounts are the daemons' counts of open windows, encoded by usage.Pack.
 	OpenCounts []byte `json:"counts,omitempty"`
 }
@@ -161,6 +166,9 @@
 	Eligible func() bool
 	// HeldElsewhere reports whether a reachable daemon claims to hold the duty.
 	HeldElsewhere func() bool
+	// FinalizedElsewhere returns the newest window that is final as far as the other daemons
+	// know, 0 if they know none.
+	FinalizedElsewhere func() int64
 	// AllReachable reports whether all daemons that may have counted requests are
 	// reachable.
 	AllReachable func() bool
@@ -195,6 +203,7 @@
 	orders        *orderTracker
 	rejectedUntil map[serviceZone]time.Duration // boot time until which nothing is ordered there
 	token         chan int64                    // of capacity 1, holds what Token returns
+	finalized     atomic.Int64                  // see Finalized
 }
 
 // New returns a Duty that does not hold the lease.
@@ -282,14 +291,12 @@
 		return
 	}
 	next := d.row
-	next.Holder, next.Incarnation, next.Token = d.Name, d.Incarnation, d.row.Token+1
+	next.Holder, next.Incarnation, next.Token = d.Name, d.Incarnation, d.nextToken()
 	if next.EpochMS == 0 {
 		next.EpochMS = d.EpochMS()
 	}
 	d.Clock.SetEpoch(time.Duration(next.EpochMS) * time.Millisecond)
-	if next.Finalized == 0 {
-		next.Finalized = d.Usage.WindowNumber(d.Clock.Now()) - 1
-	}
+	next.Finalized = d.nextFinalized()
 	if err := d.writeRow(ctx, next); err != nil {
 		d.Log.Info("cannot acquire the lease of the fleet duty", "token", next.Token, "error", err)
 		return
@@ -310,7 +317,7 @@
 		return err
 	}
 	var row leaseRow
-	if version != 0 {
+	if value != nil {
 		if err := json.Unmarshal(value, &row); err != nil {
 			return errors.Wrap(err, "decode lease row")
 		}
@@ -369,6 +376,7 @@
 	}
 	sentAt := boottime.Now()
 	next.ExpiresMS = (storeNow + d.LeaseDuration).Milliseconds()
+	next.Era, _ = views.SplitVersion(d.version)
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "encode lease row")
@@ -380,6 +388,7 @@
 		return err
 	}
 	d.row, d.version = next, version
+	d.finalized.Store(next.Finalized)
 	d.expiresAt = sentAt + d.LeaseDuration - leaseMargin
 	d.renewAt = sentAt + d.LeaseDuration/renewDivisor
 	return nil
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -165,17 +165,18 @@
 // it.
 func (l *link) syncTable(ctx context.Context, client meshpb.DRPCMeshClient, t *meshpb.Table) error {
 	v := l.mesh.Views[t.Name]
-	if v == nil || t.Changed <= v.Version() {
+	if v == nil || views.MakeVersion(t.Era, t.Changed) <= v.Version() {
 		return nil
 	}
-	out, err := client.Rows(ctx, &meshpb.TableRequest{Name: t.Name, Since: v.Version()})
+	era, number := views.SplitVersion(v.Version())
+	out, err := client.Rows(ctx, &meshpb.TableRequest{Name: t.Name, Since: number, Era: era})
 	if err != nil {
 		return errors.Wrapf(err, "read table %s from %s", t.Name, l.address)
 	}
 	rows := make([]views.Row, len(out.Rows))
 	for i, r := range out.Rows {
-		rows[i] = views.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed}
+		rows[i] = views.Row{Key: r.Key, Value: r.Value, Version: views.MakeVersion(r.Era, r.Version), Removed: r.Removed}
 	}
-	v.Merge(rows, out.Changed, out.Whole, l.peer)
+	v.Merge(rows, views.MakeVersion(out.Era, out.Changed), out.Whole, l.peer)
 	return nil
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -297,7 +297,8 @@
 func (m *Mesh) newState(to string, recipient Recipient, wantsKnown bool, now time.Duration) *meshpb.State {
 	s := &meshpb.State{Self: m.Self, Member: recipient == ToHub, SentMs: now.Milliseconds()}
 	for name, v := range m.Views {
-		s.Tables = append(s.Tables, &meshpb.Table{Name: name, Changed: v.Version()})
+		era, number := views.SplitVersion(v.Version())
+		s.Tables = append(s.Tables, &meshpb.Table{Name: name, Changed: number, Era: era})
 	}
 	up, age := m.StoreUp()
 	s.Seen, s.SeenBorn = m.LoadVersion(to)
@@ -368,10 +369,12 @@
 	if v == nil {
 		return nil, errors.Errorf("unknown table %q", req.Name)
 	}
-	rows, newest, snapshot := v.Since(req.Since)
-	out := &meshpb.TableRows{Changed: newest, Whole: snapshot}
+	rows, newest, snapshot := v.Since(views.MakeVersion(req.Era, req.Since))
+	era, number := views.SplitVersion(newest)
+	out := &meshpb.TableRows{Changed: number, Era: era, Whole: snapshot}
 	for _, r := range rows {
-		out.Rows = append(out.Rows, &meshpb.Row{Key: r.Key, Value: r.Value, Version: r.Version, Removed: r.Removed})
+		era, number := views.SplitVersion(r.Version)
+		out.Rows = append(out.Rows, &meshpb.Row{Key: r.Key, Value: r.Value, Version: number, Era: era, Removed: r.Removed})
 	}
 	return out, nil
 }
--- a/internal/node/duty.go
+++ b/internal/node/duty.go
@@ -19,16 +19,17 @@
 func (n *Node) newDuty() {
 	planner := capacity.NewPlanner()
 	n.duty = duty.New(duty.Config{
-		Name:          n.Name,
-		Incarnation:   n.incarnation,
-		LeaseDuration: n.LeaseDuration,
-		Log:           n.log.Named("duty"),
-		Store:         n.Store,
-		Cloud:         n.Cloud,
-		Clock:         n.Clock,
-		Usage:         n.usage,
-		Eligible:      func() bool { return n.mesh.Role() != mesh.Member },
-		HeldElsewhere: n.dutyHeldElsewhere,
+		Name:               n.Name,
+		Incarnation:        n.incarnation,
+		LeaseDuration:      n.LeaseDuration,
+		Log:                n.log.Named("duty"),
+		Store:              n.Store,
+		Cloud:              n.Cloud,
+		Clock:              n.Clock,
+		Usage:              n.usage,
+		Eligible:           func() bool { return n.mesh.Role() != mesh.Member },
+		HeldElsewhere:      n.dutyHeldElsewhere,
+		FinalizedElsewhere: n.finalized.Load,
 		AllReachable: func() bool {
 			all, reachable := n.mesh.CountDaemons()
 			return all == reachable
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,7 +139,8 @@
 	metrics      *metrics
 	grace        atomic.Int64 // time.Duration of the grace period; see Settings.Grace
 	stopping     atomic.Bool
-	rowWritten   atomic.Bool // this daemon's own row is in the store
+	finalized    atomic.Int64 // newest usage window that is final, as far as other daemons have told
+	rowWritten   atomic.Bool  // this daemon's own row is in the store
 }
 
 // New assembles a daemon; Run starts it.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -82,7 +82,9 @@
 	if epoch, ok := n.Clock.Epoch(); ok {
 		s.EpochMs = epoch.Milliseconds()
 	}
+	s.Reported = n.finalized.Load()
 	if n.duty != nil {
+		s.Reported = max(s.Reported, n.duty.Finalized())
 		s.DutyToken = n.duty.Token()
 		s.WantsTallies = s.DutyToken != 0
 	}
@@ -138,6 +140,9 @@
 // onState passes a State from another daemon on to the components that use it.
 func (n *Node) onState(s *meshpb.State) {
 	now := boottime.Now()
+	if s.Reported > n.finalized.Load() {
+		n.finalized.Store(s.Reported) // a lower value stored concurrently is told again
+	}
 	if len(s.Spends) > 0 {
 		spends := make([]quota.Spend, len(s.Spends))
 		for i, sp := range s.Spends {
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -2,7 +2,8 @@
 // change feed of the store and merges the copies of other daemons that are newer.
 //
 // Every row has a version, and only a higher version replaces a row, so that a view
-// never returns to an earlier state.
+// never returns to an earlier state. After a restore of the store from a copy its content is
+// older, but its versions are higher; see MakeVersion.
 package views
 
 import (
@@ -32,7 +33,7 @@
 type Page struct {
 	Rows    []Row
 	Version int64 // newest version of the store, not only of this table
-	Era     int64 // rises each time the store is restored from a copy; 0 if it has none
+	Era     int64 // rises each time the store is restored from a copy; 0 if the store names none
 }
 
 // Source reads tables of the store. Its methods are safe for concurrent use; their errors
@@ -231,11 +232,18 @@
 		}
 		v.upSince = now
 	}
-	v.readAt = now
-	v.readTo = max(v.readTo, page.Version)
 	before := v.era
 	v.era = max(v.era, page.Era)
-	dirty := v.expireHeld(now)
+	restored := v.restoredSince(page.Version)
+	if restored && v.HoldFor > 0 {
+		holdUntil = now + v.HoldFor // owners write their rows again that the copy lacks
+	}
+	v.readAt = now
+	v.readTo = max(v.readTo, page.Version)
+	if snapshot {
+		v.readTo = page.Version
+	}
+	dirty := v.expireHeld(now) || restored // owners must hear that a row of theirs may be gone, even one never read here
 	newest := v.newestVersion // an older row that is unknown here may have been removed by a newer change from a peer
 	for _, r := range page.Rows {
 		if _, known := v.rows[r.Key]; known || r.Version > newest {
@@ -260,6 +268,14 @@
 	}
 }
 
+// restoredSince reports whether a version is of a later era than all that the view has
+// applied or read. The caller holds mu.
+func (v *View) restoredSince(version int64) bool {
+	known, _ := SplitVersion(max(v.newestVersion, v.readTo))
+	era, _ := SplitVersion(version)
+	return known > 0 && era > known
+}
+
 // put applies one row and reports whether the rows changed. The caller holds mu.
 func (v *View) put(r Row, holdUntil time.Duration) bool {
 	old, known := v.rows[r.Key]
