An upstream that has left does not return with a restored row

Now departures are remembered for each incarnation: one that has announced its leaving does not take it back, and a row that was removed and returns in a later era is outdated until its owner writes it again. A row that returns in the same era had expired in an outage and is used at once, as before.

--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"github.com/lagoonmux/lagoonmux/internal/boottime"
 	"github.com/lagoonmux/lagoonmux/internal/capacity"
 	"github.com/lagoonmux/lagoonmux/internal/roster"
 	"github.com/lagoonmux/lagoonmux/internal/views"
@@ -19,8 +20,9 @@
 	mu              sync.Mutex
 	rows            map[string]views.Row  // by upstream ID
 	decoded         map[string]decodedRow // by upstream ID
-	reportedLeaving map[roster.Key]bool   // upstreams that announced in a response that they leave
-	current         *roster.Roster        // in force
+	reportedLeaving map[roster.Key]bool   // upstreams that announced that they leave, and whose row does not say so
+	departed        departures
+	current         *roster.Roster // in force
 }
 
 // decodedRow caches a decoded row, so that each version is decoded and logged once.
@@ -30,7 +32,7 @@
 }
 
 func newRosterBuilder(n *Node) *rosterBuilder {
-	return &rosterBuilder{node: n, decoded: make(map[string]decodedRow), reportedLeaving: make(map[roster.Key]bool), current: roster.New(nil)}
+	return &rosterBuilder{node: n, decoded: make(map[string]decodedRow), reportedLeaving: make(map[roster.Key]bool), departed: make(departures), current: roster.New(nil)}
 }
 
 // onRows replaces the rows and rebuilds the roster.
@@ -82,15 +84,21 @@
 func (b *rosterBuilder) rebuild() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := boottime.Now()
+	newest := int64(0)
 	next := make(map[string]decodedRow, len(b.rows))
 	var list []*roster.Upstream
 	for id, row := range b.rows {
+		newest = max(newest, row.Version)
 		d, ok := b.decoded[id]
 		if !ok || d.version != row.Version {
 			d = b.decode(id, row, d.upstream)
 		}
 		next[id] = d
 		if d.upstream != nil {
+			if b.departed.hasLeft(d.upstream, now) && !d.upstream.Leaving {
+				b.reportedLeaving[d.upstream.Key()] = true
+			}
 			list = append(list, b.applyLeaving(d.upstream))
 		}
 	}
@@ -100,9 +108,11 @@
 	})
 	for id, d := range b.decoded {
 		if _, ok := next[id]; !ok && d.upstream != nil {
+			b.departed.gone(d.upstream, newest, now)
 			b.node.log.Info("upstream gone", "upstream", id, "service", d.upstream.Service, "entry", d.version)
 		}
 	}
+	b.departed.prune(next, now)
 	b.decoded = next
 	b.current = roster.New(list)
 	b.node.placer.Update(b.current, b.cacheTokens)
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -244,7 +244,7 @@
 		v.readTo = page.Version
 	}
 	dirty := v.expireHeld(now) || restored // owners must hear that a row of theirs may be gone, even one never read here
-	newest := v.newestVersion // an older row that is unknown here may have been removed by a newer change from a peer
+	newest := v.newestVersion              // an older row that is unknown here may have been removed by a newer change from a peer
 	for _, r := range page.Rows {
 		if _, known := v.rows[r.Key]; known || r.Version > newest {
 			dirty = v.put(r, holdUntil) || dirty
