A refusal without an id on a kept connection is not taken for the request's own

Cause: the id was compared only where there was one. On a new connection there is no earlier request, so a refusal without an id still counts there.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -260,6 +260,8 @@
 	switch {
 	case info.ID != "" && info.ID != a.req.ID:
 		return lost, errors.Errorf("response belongs to another request, %.40q", info.ID)
+	case info.ID == "" && (info.Misplaced || info.NotRun) && a.conn.Reused():
+		return lost, errors.Errorf("status %d: refusal without an id may belong to an earlier request on the connection", status)
 	case info.Misplaced:
 		return misplaced, errors.Errorf("another upstream has address %s", a.choice.Upstream.Address)
 	case info.NotRun:
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -76,6 +76,7 @@
 	refused       int
 	header        http.Header // added to all responses
 	refusalHeader http.Header // added to refusals
+	raw           RawResponse // nil for none
 	sharedFault   *SharedFault
 	crashSegment  string    // prompt segment that ends the upstream; empty for none
 	endedAt       time.Time // zero unless it has ended
@@ -202,6 +203,9 @@
 	defer func() { u.endRun(run, "cut") }()
 	u.waitReleased(req)
 	u.crashIfDue(w, run)
+	if u.respondRaw(w, run) {
+		return
+	}
 	if fault == Silent {
 		<-req.Context().Done()
 		return
@@ -358,6 +362,15 @@
 	u.endRun(run, "done")
 }
 
+// hijackRaw sends raw bytes, and keeps the connection open if keep is set.
+func hijackRaw(w http.ResponseWriter, text string, keep bool) {
+	if keep {
+		hijackKeepOpen(w, text)
+		return
+	}
+	hijack(w, func(bw *bufio.Writer) { _, _ = bw.WriteString(text) })
+}
+
 // hijackKeepOpen sends raw bytes and keeps the connection open until the client
 // closes it.
 func hijackKeepOpen(w http.ResponseWriter, text string) {
