What is no continuation of a stream does not end it or enter it

Here failures by status were kept out; a success was taken for the continuation whatever it was: text with status 200, 204 and 206, and an empty body ended the stream as complete (TestErrorOnResumeStaysOutOfStream, five of eleven cases failed). Cause: only the status class of the second response was checked, not that it is of the kind of the first. Now status and media type must be the same and the body not empty by its length; else the stream is cut, so that its caller can resume it. An empty chunked stream still ends one that broke off after its last event (TestResumedStreamMayBeEmpty).

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -272,8 +272,8 @@
 		return lost, errors.Errorf("status %d: response has no seal", status)
 	case status >= 500 && a.worthRetrying(status):
 		return lost, errors.Errorf("upstream failed with status %d", status)
-	case a.stream.started && !success:
-		return broken, errors.Errorf("response to resume the stream has status %d", status)
+	case a.stream.started && !a.continuesStream():
+		return broken, errors.Errorf("response to resume the stream has status %d and type %.40q", status, a.head.ContentType())
 	}
 	if success && a.route.Kind == catalog.Stream {
 		return a.relayStream(ctx)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -27,7 +27,9 @@
 // eventStream is the stream of events sent to the caller. Several attempts may contribute
 // to it, one after the other.
 type eventStream struct {
-	started   bool  // its head was sent to the caller
+	started   bool // its head was sent to the caller
+	status    int  // of that head
+	mediaType string
 	lastID    int64 // of the last event sent that has an id
 	hasLastID bool  // lastID is set
 	buf       []byte
@@ -44,6 +46,12 @@
 	return r.LastEventID
 }
 
+// continuesStream reports whether the response can continue the stream that has started: it
+// is of the same kind and not an empty body of known length, which no stream is.
+func (a *attempt) continuesStream() bool {
+	return a.head.StatusCode() == a.stream.status && string(a.head.ContentType()) == a.stream.mediaType && a.head.ContentLength() != 0
+}
+
 // completeEventsLen returns the length of the complete events at the start of data.
 func completeEventsLen(data []byte) int {
 	i := bytes.LastIndex(data, eventEnd)
@@ -162,6 +170,7 @@
 		a.stream.started = true
 		resp := fasthttp.AcquireResponse()
 		a.Codec.CopyHead(&a.head, resp)
+		a.stream.status, a.stream.mediaType = a.head.StatusCode(), string(a.head.ContentType())
 		a.record.Status = a.head.StatusCode()
 		if err := a.x.StartStream(resp); err != nil {
 			return &relayError{gone, err}
