Tables of older builds count in the era in which this daemon reads the store

A fleet of old and new builds must run beside each other. Older builds tell no era, and their tables counted as older than any: a new daemon without the store could not take a change from an old one, and answered 404 for a new route (trial: two old processes beside two new daemons). Now their numbers are taken to be of the era that this daemon reads, until it has seen a restore.

--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -165,7 +166,11 @@
 // it.
 func (l *link) syncTable(ctx context.Context, client meshpb.DRPCMeshClient, t *meshpb.Table) error {
 	v := l.mesh.Views[t.Name]
-	if v == nil || views.MakeVersion(t.Era, t.Changed) <= v.Version() {
+	if v == nil {
+		return nil
+	}
+	assumed := v.AssumedEra()
+	if views.MakeVersion(cmp.Or(t.Era, assumed), t.Changed) <= v.Version() {
 		return nil
 	}
 	era, number := views.SplitVersion(v.Version())
@@ -175,8 +180,8 @@
 	}
 	rows := make([]views.Row, len(out.Rows))
 	for i, r := range out.Rows {
-		rows[i] = views.Row{Key: r.Key, Value: r.Value, Version: views.MakeVersion(r.Era, r.Version), Removed: r.Removed}
+		rows[i] = views.Row{Key: r.Key, Value: r.Value, Version: views.MakeVersion(cmp.Or(r.Era, assumed), r.Version), Removed: r.Removed}
 	}
-	v.Merge(rows, views.MakeVersion(out.Era, out.Changed), out.Whole, l.peer)
+	v.Merge(rows, views.MakeVersion(cmp.Or(out.Era, assumed), out.Changed), out.Whole, l.peer)
 	return nil
 }
--- a/internal/views/restore_test.go
+++ b/internal/views/restore_test.go
@@ -71,3 +71,13 @@
 	v.apply(Page{Version: 20, Rows: []Row{{Key: "a", Version: 15, Removed: true}}}, false)
 	assert.Equal(t, rowCount(v), 1, "not held")
 }
+
+// TestEraOfOlderBuilds checks what is assumed of a daemon whose build does not tell the era.
+func TestEraOfOlderBuilds(t *testing.T) {
+	v := newView(false)
+	assert.Equal(t, v.AssumedEra(), int64(0))
+	v.apply(Page{Era: 3, Version: version(3, 10), Rows: []Row{{Key: "a", Version: version(3, 5)}}}, true)
+	assert.Equal(t, v.AssumedEra(), int64(3))
+	v.apply(Page{Era: 4, Version: version(4, 8), Rows: []Row{{Key: "a", Version: version(4, 4)}}}, true)
+	assert.Equal(t, v.AssumedEra(), int64(0), "its table may be from before the restore")
+}
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -115,6 +115,7 @@
 	readAt        time.Duration      // boot time of the store's last response; 0 for none
 	upSince       time.Duration      // boot time of the first response since the last error; 0 while the store does not respond
 	era           int64              // of the store at its last response
+	eraRose       bool               // the store was restored while this view read it
 	delegatedAt   time.Duration      // boot time at which Delegated last returned true
 }
 
@@ -235,6 +236,7 @@
 	before := v.era
 	v.era = max(v.era, page.Era)
 	restored := v.restoredSince(page.Version)
+	v.eraRose = v.eraRose || restored
 	if restored && v.HoldFor > 0 {
 		holdUntil = now + v.HoldFor // owners write their rows again that the copy lacks
 	}
@@ -371,6 +373,18 @@
 	return v.era
 }
 
+// AssumedEra returns the era to assume for versions of a daemon whose build does not tell
+// it: that of the known rows, or 0, which is lower than any, once the store was restored.
+func (v *View) AssumedEra() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.eraRose {
+		return 0
+	}
+	era, _ := SplitVersion(max(v.newestVersion, v.readTo))
+	return era
+}
+
 // UpFor returns the time since the first response after the last failed read, 0 while
 // reads fail.
 func (v *View) UpFor() time.Duration {
