Quarantine: software is looked up only for quarantined segments; one failed write a turn

Each request hashed the software of all upstreams of its service, at the size designed for 100,000 hashes a second; now only a request with a quarantined segment does. Rows of quarantines were written one after the other while the store did not answer, half a second each, in the task that also keeps the counts of daemons; now the first failure ends the turn. No other change of what is decided.

--- a/internal/mesh/quarantine_test.go
+++ b/internal/mesh/quarantine_test.go
@@ -25,6 +25,9 @@
 	runTime      = 300 * time.Millisecond // from sending a request to its answer or the end of its upstream
 )
 
+// anySoftware tells that it is not known what the upstreams run.
+func anySoftware(string) uint32 { return 0 }
+
 // crashContact returns the bound for a deployment of n daemons.
 func crashContact(n int) time.Duration {
 	switch {
@@ -134,7 +137,7 @@
 		c.sound++
 	}
 	table := c.tables[nd]
-	if v := table.Check(crashService, segments, 0, c.now); v != nil && !(v.TrialDue && c.startTrial(nd, v.Segment)) {
+	if v := table.Check(crashService, segments, anySoftware, c.now); v != nil && !(v.TrialDue && c.startTrial(nd, v.Segment)) {
 		if !bad {
 			c.refused++
 		}
@@ -151,7 +154,7 @@
 	for range 2 {
 		address, self := nd.arbiterAt(s.Hash(), c.now)
 		if self {
-			return c.tables[nd].StartTrial(s.Hash(), func(string) uint32 { return 0 }, c.now)
+			return c.tables[nd].StartTrial(s.Hash(), anySoftware, c.now)
 		}
 		to := c.byAddress[address]
 		if to == nil || !to.up || to.suspended || c.dropped(nd, to) {
@@ -160,7 +163,7 @@
 		nd = to
 	}
 	address, self := nd.arbiterAt(s.Hash(), c.now)
-	return self && address == "" && c.tables[nd].StartTrial(s.Hash(), func(string) uint32 { return 0 }, c.now)
+	return self && address == "" && c.tables[nd].StartTrial(s.Hash(), anySoftware, c.now)
 }
 
 // land ends a request. What a daemon learns is lost with its process.
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -39,6 +39,8 @@
 	// settleIntervals is the number of call intervals in which all daemons hear of evidence
 	// and object to it: to a hub, to another one, to its members, and back.
 	settleIntervals = 5
+	// trialPermitTTL is how long after the question the permit for a trial may be used.
+	trialPermitTTL = 500 * time.Millisecond
 	// maxListedQuarantines bounds the quarantines with a metric of their own.
 	maxListedQuarantines = 100
 )
@@ -95,7 +97,7 @@
 
 // Check implements proxy.Quarantine.
 func (q *segmentQuarantine) Check(service string, segments []place.Segment) *quarantine.Verdict {
-	v := q.table.Check(service, segments, q.software(service), boottime.Now())
+	v := q.table.Check(service, segments, q.software, boottime.Now())
 	if v != nil && !v.TrialDue {
 		q.refused.Add(1)
 	}
@@ -183,9 +185,6 @@
 	return true
 }
 
-// trialPermitTTL is how long after the question the answer may be used.
-const trialPermitTTL = 500 * time.Millisecond
-
 // answer decides as the arbiter whether a trial may start, or asks it. relay is set if the
 // question is another daemon's; a question is passed on only once.
 func (q *segmentQuarantine) answer(ctx context.Context, question *meshpb.Question, relay bool) *meshpb.Answer {
@@ -248,7 +247,7 @@
 }
 
 // writeRows writes the quarantines of which this daemon is the arbiter to the store and
-// removes those that ended.
+// removes those that ended. After a failed call the rest waits for the next time.
 func (q *segmentQuarantine) writeRows(ctx context.Context) {
 	list, _ := q.table.Quarantined(boottime.Now())
 	q.mu.Lock()
@@ -265,35 +264,41 @@
 		if _, self := q.node.mesh.Arbiter(s.Hash()); !self || stored && old.Trials == s.Trials && old.Confirmed == s.Confirmed {
 			continue
 		}
-		q.writeRow(ctx, key, newQuarantineRow(s, q.node.Clock.Now()))
+		if !q.writeRow(ctx, key, newQuarantineRow(s, q.node.Clock.Now())) {
+			return
+		}
 	}
 	for key, r := range rows {
 		s := quarantine.Segment{Service: r.Service, ID: r.Segment}
-		if _, self := q.node.mesh.Arbiter(s.Hash()); self && !current[key] {
-			q.removeRow(ctx, key)
+		if _, self := q.node.mesh.Arbiter(s.Hash()); self && !current[key] && !q.removeRow(ctx, key) {
+			return
 		}
 	}
 }
 
-func (q *segmentQuarantine) writeRow(ctx context.Context, key string, r quarantineRow) {
+func (q *segmentQuarantine) writeRow(ctx context.Context, key string, r quarantineRow) (ok bool) {
 	value, err := json.Marshal(r)
 	if err != nil {
 		q.node.log.Error("cannot encode a quarantine's row for the store", "error", err)
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeRowTimeout)
 	defer cancel()
-	if err := q.node.Store.Put(ctx, quarantineTable, key, value); err != nil {
+	err = q.node.Store.Put(ctx, quarantineTable, key, value)
+	if err != nil {
 		q.node.log.Info("cannot write a quarantine's row to the store", "segment", r.Segment, "error", err)
 	}
+	return err == nil
 }
 
-func (q *segmentQuarantine) removeRow(ctx context.Context, key string) {
+func (q *segmentQuarantine) removeRow(ctx context.Context, key string) (ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, writeRowTimeout)
 	defer cancel()
-	if err := q.node.Store.Remove(ctx, quarantineTable, key); err != nil {
+	err := q.node.Store.Remove(ctx, quarantineTable, key)
+	if err != nil {
 		q.node.log.Info("cannot remove a quarantine's row from the store", "row", key, "error", err)
 	}
+	return err == nil
 }
 
 // writeMetrics writes the quarantines and the counts of decisions.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -277,9 +277,9 @@
 }
 
 // Check returns the verdict on a request with the given shared segments, nil if it may be
-// sent. software identifies what the service's upstreams run, 0 if that is not known or
-// differs between them.
-func (t *Table) Check(service string, segments []place.Segment, software uint32, now time.Duration) *Verdict {
+// sent. softwareOf identifies what a service's upstreams run, 0 if that is not known or differs
+// between them.
+func (t *Table) Check(service string, segments []place.Segment, softwareOf func(service string) uint32, now time.Duration) *Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.suspects) == 0 {
@@ -293,7 +293,7 @@
 		case v != nil:
 			v.TrialDue = false
 		default:
-			v = &Verdict{e.Segment, e.since, e.ended, e.trial.due(e.since, software, now)}
+			v = &Verdict{e.Segment, e.since, e.ended, e.trial.due(e.since, softwareOf(service), now)}
 		}
 	}
 	return v
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -15,6 +15,9 @@
 	settle  = time.Second
 )
 
+// unknown tells that it is not known what the upstreams run.
+func unknown(string) uint32 { return 0 }
+
 // fixture is a table with a virtual clock.
 type fixture struct {
 	*Table
@@ -52,7 +55,7 @@
 }
 
 func (f *fixture) refuses(ids ...uint64) bool {
-	return f.Check(service, segments(ids...), 0, f.now) != nil
+	return f.Check(service, segments(ids...), unknown, f.now) != nil
 }
 
 // TestSegmentIsQuarantinedAfterSuccessiveEnds checks that only the segment which all ends
@@ -67,7 +70,7 @@
 	f.end(1, 9, 21)
 	assert.DeepEqual(t, f.pass(time.Second), []uint64{9})
 	assert.Assert(t, f.refuses(1, 9) && !f.refuses(1, 20))
-	assert.Assert(t, f.Check("other", segments(9), 0, f.now) == nil, "other services")
+	assert.Assert(t, f.Check("other", segments(9), unknown, f.now) == nil, "other services")
 }
 
 // TestSimultaneousEndsAreOnePieceOfEvidence ends many upstreams at once, as a reclaim does,
@@ -125,7 +128,7 @@
 
 	f := blame()
 	f.pass(firstTrial)
-	assert.Assert(t, f.Check(service, segments(9), 1, f.now).TrialDue)
+	assert.Assert(t, f.Check(service, segments(9), softwareOf, f.now).TrialDue)
 	assert.Assert(t, f.StartTrial(hash, softwareOf, f.now))
 	assert.Assert(t, !f.StartTrial(hash, softwareOf, f.now), "one at a time")
 	changes := f.Completed(service, segments(9), f.now)
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -56,8 +56,7 @@
 }
 
 // StartTrial reports whether a trial of a segment, given by its hash, may start, and counts
-// it. Only the arbiter of the segment may call it. softwareOf returns what a service's
-// upstreams run, as for Check.
+// it. Only the arbiter of the segment may call it. softwareOf is as for Check.
 func (t *Table) StartTrial(hash uint64, softwareOf func(service string) uint32, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
