--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -185,10 +185,10 @@
 	expected := req.Header.Get("X-Expect-Instance")
 	switch {
 	case fault == Refuse:
-		u.refuse(w, http.StatusServiceUnavailable)
+		u.refuse(w, req, http.StatusServiceUnavailable)
 		return
 	case fault == Misplaced || expected != "" && expected != u.ID:
-		u.refuse(w, http.StatusMisdirectedRequest)
+		u.refuse(w, req, http.StatusMisdirectedRequest)
 		return
 	}
 	body := ""
@@ -225,11 +225,12 @@
 	u.servePlain(w, run, fault)
 }
 
-func (u *Upstream) refuse(w http.ResponseWriter, status int) {
+func (u *Upstream) refuse(w http.ResponseWriter, req *http.Request, status int) {
 	u.mu.Lock()
 	u.refused++
 	maps.Copy(w.Header(), u.refusalHeader)
 	u.mu.Unlock()
+	w.Header().Set("X-Attempt-Id", req.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Not-Executed", "1")
 	w.WriteHeader(status)
 }
