The table of quarantines is read once the store has answered another read

Cause: each view reads its table at the start, and a response may take megabytes until it is found to be too long; the table of quarantines had made them four instead of three.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -283,9 +283,10 @@
 	dutyCtx, stopDuty := context.WithCancel(servicesCtx)
 	defer stopDuty()
 	g, gctx := errgroup.WithContext(ctx)
-	for _, v := range []*views.View{n.configView, n.upstreamView, n.daemonView, n.segmentView} {
+	for _, v := range []*views.View{n.configView, n.upstreamView, n.daemonView} {
 		go v.Run(servicesCtx) // not awaited: a read may outlast the drain and holds no resources
 	}
+	go n.runSegmentView(servicesCtx)
 	g.Go(func() error { return n.mesh.Run(servicesCtx) })
 	g.Go(func() error { return n.server.Run(n.CallerAddress) })
 	g.Go(func() error { return n.serveStatus(servicesCtx) })
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/lagoonmux/lagoonmux/internal/mesh"
@@ -58,6 +59,22 @@
 	n.daemonView = view(daemonTable, daemonListWait, 0, daemonReadDelay, n.onDaemonRows)
 }
 
+// runSegmentView follows the table of quarantined segments once the store has answered. Each
+// view may hold a response of some megabytes while it starts, and this table is empty on
+// most days.
+func (n *Node) runSegmentView(ctx context.Context) {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	for n.upstreamView.UpFor() == 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	n.segmentView.Run(ctx)
+}
+
 // changeWait returns how long the store may hold a read that waits for changes. Hubs
 // wait for maxHubWait at most, since they also read for their members, which must soon
 // learn whether the store still answers.
