--- a/internal/standin/site/raw.go
+++ b/internal/standin/site/raw.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"bufio"
 	"fmt"
 	"net/http"
 	"strings"
@@ -56,3 +57,34 @@
 	}
 	return b.String()
 }
+
+// unframedStream returns the bytes of a stream that has no length and no chunks, if the
+// fault says so.
+func (u *Upstream) unframedStream(fault Fault, run *Run, events int) (text string, ok bool) {
+	switch fault {
+	case UntilClose:
+	case UntilCloseInEvent:
+		events = 2
+	case UntilCloseNoEvent:
+		events = 0
+	default:
+		return "", false
+	}
+	text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + run.ID + "\r\nX-Response-Seal: " + Seal + "." + u.ID + "\r\n\r\n"
+	for n := run.LastEventID + 1; n <= events; n++ {
+		text += Event(run.ID, n)
+	}
+	if fault == UntilCloseInEvent {
+		text += Event(run.ID, 3)[:9]
+	}
+	return text, true
+}
+
+// hijackRaw sends raw bytes, and keeps the connection open if keep is set.
+func hijackRaw(w http.ResponseWriter, text string, keep bool) {
+	if keep {
+		hijackKeepOpen(w, text)
+		return
+	}
+	hijack(w, func(bw *bufio.Writer) { _, _ = bw.WriteString(text) })
+}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -363,15 +363,6 @@
 	u.endRun(run, "done")
 }
 
-// hijackRaw sends raw bytes, and keeps the connection open if keep is set.
-func hijackRaw(w http.ResponseWriter, text string, keep bool) {
-	if keep {
-		hijackKeepOpen(w, text)
-		return
-	}
-	hijack(w, func(bw *bufio.Writer) { _, _ = bw.WriteString(text) })
-}
-
 // hijackKeepOpen sends raw bytes and keeps the connection open until the client
 // closes it.
 func hijackKeepOpen(w http.ResponseWriter, text string) {
@@ -394,28 +385,6 @@
 // Event returns the n-th event of the run with the given ID, counted from 1.
 func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, id, n) }
 
-// unframedStream returns the bytes of a stream that has no length and no chunks, if the
-// fault says so.
-func (u *Upstream) unframedStream(fault Fault, run *Run, events int) (text string, ok bool) {
-	switch fault {
-	case UntilClose:
-	case UntilCloseInEvent:
-		events = 2
-	case UntilCloseNoEvent:
-		events = 0
-	default:
-		return "", false
-	}
-	text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + run.ID + "\r\nX-Response-Seal: " + Seal + "." + u.ID + "\r\n\r\n"
-	for n := run.LastEventID + 1; n <= events; n++ {
-		text += Event(run.ID, n)
-	}
-	if fault == UntilCloseInEvent {
-		text += Event(run.ID, 3)[:9]
-	}
-	return text, true
-}
-
 func (u *Upstream) serveStream(w http.ResponseWriter, req *http.Request, run *Run, fault Fault) {
 	u.mu.Lock()
 	events, gap := u.events, u.gap
--- a/internal/views/version.go
+++ b/internal/views/version.go
@@ -11,3 +11,30 @@
 
 // SplitVersion is the reverse of MakeVersion.
 func SplitVersion(version int64) (era, number int64) { return version / eraSpan, version % eraSpan }
+
+// Era returns the store's era at its last response.
+func (v *View) Era() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.era
+}
+
+// AssumedEra returns the era to assume for versions of a daemon whose build does not tell
+// it: that of the known rows, or 0, which is lower than any, once the store was restored.
+func (v *View) AssumedEra() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.eraRose {
+		return 0
+	}
+	era, _ := SplitVersion(max(v.newestVersion, v.readTo))
+	return era
+}
+
+// restoredSince reports whether a version is of a later era than all that the view has
+// applied or read. The caller holds mu.
+func (v *View) restoredSince(version int64) bool {
+	known, _ := SplitVersion(max(v.newestVersion, v.readTo))
+	era, _ := SplitVersion(version)
+	return known > 0 && era > known
+}
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -270,14 +270,6 @@
 	}
 }
 
-// restoredSince reports whether a version is of a later era than all that the view has
-// applied or read. The caller holds mu.
-func (v *View) restoredSince(version int64) bool {
-	known, _ := SplitVersion(max(v.newestVersion, v.readTo))
-	era, _ := SplitVersion(version)
-	return known > 0 && era > known
-}
-
 // put applies one row and reports whether the rows changed. The caller holds mu.
 func (v *View) put(r Row, holdUntil time.Duration) bool {
 	old, known := v.rows[r.Key]
@@ -366,25 +358,6 @@
 	return v.newestVersion
 }
 
-// Era returns the store's era at its last response.
-func (v *View) Era() int64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.era
-}
-
-// AssumedEra returns the era to assume for versions of a daemon whose build does not tell
-// it: that of the known rows, or 0, which is lower than any, once the store was restored.
-func (v *View) AssumedEra() int64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.eraRose {
-		return 0
-	}
-	era, _ := SplitVersion(max(v.newestVersion, v.readTo))
-	return era
-}
-
 // UpFor returns the time since the first response after the last failed read, 0 while
 // reads fail.
 func (v *View) UpFor() time.Duration {
