A daemon is ready once it has read the quarantined segments

Cause: it served before it had read the table, which it has done up to 0.2 s after the other tables since that read waits for them. Now it is not ready until the table was read, unless the store does not answer, and looks each 20 ms.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -271,7 +271,7 @@
 
 // Ready reports whether the load balancer should send callers to this daemon.
 func (n *Node) Ready() bool {
-	return !n.stopping.Load() && n.proxy.Catalog() != nil && n.roster.anyUsable()
+	return !n.stopping.Load() && n.proxy.Catalog() != nil && n.roster.anyUsable() && n.segmentsKnown()
 }
 
 // Run serves until ctx ends, then drains and returns. It returns an error if it cannot
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -33,6 +33,9 @@
 	// a hub, and by a member while no hub reads for it.
 	hubReadDelay    = 100 * time.Millisecond
 	memberReadDelay = 500 * time.Millisecond
+	// firstReadPoll is the interval of checks whether the store has answered for the first
+	// time.
+	firstReadPoll = 20 * time.Millisecond
 	// delegationAge is the age of the last read by another daemon up to which a member does
 	// not read the store itself. A hub's read takes up to maxHubWait, and one or two
 	// exchanges pass until its members know of it.
@@ -63,7 +66,7 @@
 // view may hold a response of some megabytes while it starts, and this table is empty on
 // most days.
 func (n *Node) runSegmentView(ctx context.Context) {
-	ticker := time.NewTicker(housekeepingInterval)
+	ticker := time.NewTicker(firstReadPoll)
 	defer ticker.Stop()
 	for n.upstreamView.UpFor() == 0 {
 		select {
@@ -75,6 +78,12 @@
 	n.segmentView.Run(ctx)
 }
 
+// segmentsKnown reports whether the table of quarantined segments was read, or cannot be
+// read now.
+func (n *Node) segmentsKnown() bool {
+	return n.segmentView.HasRead() || n.upstreamView.UpFor() == 0
+}
+
 // changeWait returns how long the store may hold a read that waits for changes. Hubs
 // wait for maxHubWait at most, since they also read for their members, which must soon
 // learn whether the store still answers.
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -369,6 +369,13 @@
 	return boottime.Now() - v.upSince
 }
 
+// HasRead reports whether the store has answered a read of the table.
+func (v *View) HasRead() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.readAt > 0
+}
+
 // ReadAge returns the time since the store's last response, or 24 h if there was none.
 func (v *View) ReadAge() time.Duration {
 	v.mu.Lock()
