--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -81,7 +81,7 @@
 // segmentsKnown reports whether the table of quarantined segments was read, or cannot be
 // read now.
 func (n *Node) segmentsKnown() bool {
-	return n.segmentView.HasRead() || n.upstreamView.UpFor() == 0
+	return n.segmentView.HasData() || n.upstreamView.UpFor() == 0
 }
 
 // changeWait returns how long the store may hold a read that waits for changes. Hubs
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -148,10 +148,7 @@
 // table for this one. The next read is then a full one: the other daemon may hold removed
 // rows, and this view cannot distinguish them from the store's rows.
 func (v *View) waitWhileDelegated(ctx context.Context) bool {
-	v.mu.Lock()
-	hasData := v.readAt > 0 || v.newestVersion > 0
-	v.mu.Unlock()
-	if v.Delegated == nil || !hasData || !v.Delegated() {
+	if v.Delegated == nil || !v.HasData() || !v.Delegated() {
 		return false
 	}
 	v.mu.Lock()
@@ -369,11 +366,11 @@
 	return boottime.Now() - v.upSince
 }
 
-// HasRead reports whether the store has answered a read of the table.
-func (v *View) HasRead() bool {
+// HasData reports whether the table was read, from the store or from a daemon.
+func (v *View) HasData() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.readAt > 0
+	return v.readAt > 0 || v.newestVersion > 0
 }
 
 // ReadAge returns the time since the store's last response, or 24 h if there was none.
