Log and metrics of tables that stay behind those of other daemons

Callers saw changes in force late (CONFIG) and requests at leaving upstreams (DRAIN).

Added: table behind|caught up, table read failed, four metrics by table. No decision changes.

--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -59,6 +59,7 @@
 				go (&link{mesh: m, address: address}).run(linkCtx)
 			}
 		}
+		m.checkTables(boottime.Now())
 		for address, cancel := range running {
 			if !wanted[address] {
 				cancel()
@@ -170,12 +171,15 @@
 		return nil
 	}
 	assumed := v.AssumedEra()
-	if views.MakeVersion(cmp.Or(t.Era, assumed), t.Changed) <= v.Version() {
+	told := l.mesh.toldVersion(t)
+	if told <= v.Version() {
 		return nil
 	}
 	era, number := views.SplitVersion(v.Version())
+	began := boottime.Now()
 	out, err := client.Rows(ctx, &meshpb.TableRequest{Name: t.Name, Since: number, Era: era})
 	if err != nil {
+		l.mesh.recordFailedRead(t.Name, l.peer, told, boottime.Now()-began, err)
 		return errors.Wrapf(err, "read table %s from %s", t.Name, l.address)
 	}
 	rows := make([]views.Row, len(out.Rows))
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -144,12 +144,13 @@
 	peersReadAt time.Duration            // boot time at which the store last answered another daemon; 0 for never
 	askers      map[string]*asker        // by address
 	replan      chan struct{}            // signals that a new daemon is known
+	lags        map[string]*tableLag     // by table
 }
 
 // New returns a Mesh that has not started; see Run.
 func New(c Config) *Mesh {
 	return &Mesh{Config: c, selfID: nameHash(c.Self.Name), peers: make(map[string]*Peer), lastHeard: make(map[uint64]time.Duration), askers: make(map[string]*asker),
-		replan: make(chan struct{}, 1)}
+		replan: make(chan struct{}, 1), lags: make(map[string]*tableLag)}
 }
 
 // Run listens at this daemon's address, answers calls and calls other daemons until
@@ -263,6 +264,7 @@
 	if reached {
 		m.Log.Info("daemon reached", "peer", s.Self.Name, "address", s.Self.Address, "zone", s.Self.Zone, "member", s.Member)
 	}
+	m.recordTables(s, now)
 	m.OnState(s)
 }
 
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/lagoonmux/lagoonmux/internal/boottime"
 	"github.com/lagoonmux/lagoonmux/internal/netopt"
 )
 
@@ -72,6 +74,7 @@
 		n.writeGauges(c)
 		n.throttle.writeMetrics(c)
 		n.quarantine.writeMetrics(c)
+		n.writeTableMetrics(c)
 	default:
 		c.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -91,3 +94,13 @@
 	_, _ = fmt.Fprintf(c, "lagoonmux_store_up_ms %d\nlagoonmux_upstream_connections %d\nlagoonmux_upstream_dials_total %d\nlagoonmux_callers %d\n",
 		n.StoreUp().Milliseconds(), open, dials, n.server.Connections())
 }
+
+// writeTableMetrics writes how far the copies of the store's tables are behind those of other
+// daemons.
+func (n *Node) writeTableMetrics(w io.Writer) {
+	for _, s := range n.mesh.TableStatuses(boottime.Now()) {
+		_, _ = fmt.Fprintf(w, "lagoonmux_table_version{table=%q} %d\nlagoonmux_table_told_version{table=%q} %d\n", s.Name, s.Version, s.Name, s.Told)
+		_, _ = fmt.Fprintf(w, "lagoonmux_table_behind_ms{table=%q} %d\nlagoonmux_table_failed_reads_total{table=%q} %d\n",
+			s.Name, s.Behind.Milliseconds(), s.Name, s.FailedReads)
+	}
+}
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -355,6 +355,14 @@
 	return v.newestVersion
 }
 
+// KnownVersion returns the version up to which the view knows the table: that of the newest
+// change applied, or that up to which the store's changes were read.
+func (v *View) KnownVersion() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return max(v.newestVersion, v.readTo)
+}
+
 // UpFor returns the time since the first response after the last failed read, 0 while
 // reads fail.
 func (v *View) UpFor() time.Duration {
