--- a/internal/mesh/ask.go
+++ b/internal/mesh/ask.go
@@ -28,6 +28,7 @@
 
 // asker sends questions to one daemon, one at a time.
 type asker struct {
+	mesh    *Mesh
 	address string
 	sem     chan struct{}  // semaphore, full while a question is in flight; guards the fields below
 	conn    *drpcconn.Conn // nil while disconnected
@@ -80,7 +81,7 @@
 func (m *Mesh) asker(address string) *asker {
 	a := m.askers[address]
 	if a == nil {
-		a = &asker{address: address, sem: make(chan struct{}, 1)}
+		a = &asker{mesh: m, address: address, sem: make(chan struct{}, 1)}
 		m.askers[address] = a
 	}
 	return a
@@ -142,7 +143,7 @@
 		}
 	}
 	if a.conn == nil {
-		conn, err := connect(ctx, a.address)
+		conn, err := a.mesh.connect(ctx, a.address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -30,14 +30,19 @@
 	slowInterval      = time.Second
 )
 
-// dial opens a TCP connection to a daemon.
-func dial(ctx context.Context, address string) (net.Conn, error) {
+// dialTCP opens a TCP connection to a daemon.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	return netopt.Dial(ctx, address, dialTimeout, ackTimeout)
 }
 
+// listenTCP listens for TCP connections of daemons.
+func listenTCP(ctx context.Context, address string) (net.Listener, error) {
+	return netopt.Listen(ctx, address, ackTimeout)
+}
+
 // connect opens a DRPC connection to a daemon.
-func connect(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	nc, err := dial(ctx, address)
+func (m *Mesh) connect(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	nc, err := m.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial %s", address)
 	}
@@ -133,7 +138,7 @@
 // the changes of tables of which the called daemon has a newer version.
 func (l *link) exchange(ctx context.Context) error {
 	if l.conn == nil {
-		conn, err := connect(ctx, l.address)
+		conn, err := l.mesh.connect(ctx, l.address)
 		if err != nil {
 			return err
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -26,7 +27,6 @@
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
 	"github.com/lagoonmux/lagoonmux/internal/invariant"
 	"github.com/lagoonmux/lagoonmux/internal/mesh/meshpb"
-	"github.com/lagoonmux/lagoonmux/internal/netopt"
 	"github.com/lagoonmux/lagoonmux/internal/views"
 )
 
@@ -69,6 +69,10 @@
 	// minStoreUp is how long the store must have answered another daemon before that
 	// daemon's reads count as evidence that the store is up.
 	minStoreUp = time.Second
+	// delegationAge is the age of the last read by another daemon up to which a member does
+	// not read the store itself. A hub's read takes up to a second, and one or two exchanges
+	// pass until its members know of it.
+	delegationAge = 2 * time.Second
 	// neverAge is the age reported for an event that has not happened; it exceeds every
 	// limit on ages.
 	neverAge = 24 * time.Hour
@@ -107,6 +111,9 @@
 	Answer func(ctx context.Context, q *meshpb.Question) *meshpb.Answer
 	// Leaving reports whether this daemon is stopping; nil for never.
 	Leaving func() bool
+	// Dial and Listen open connections to daemons and accept theirs; nil for TCP.
+	Dial   func(ctx context.Context, address string) (net.Conn, error)
+	Listen func(ctx context.Context, address string) (net.Listener, error)
 }
 
 // Peer is another daemon. Times are boot times.
@@ -149,6 +156,12 @@
 
 // New returns a Mesh that has not started; see Run.
 func New(c Config) *Mesh {
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
+	if c.Listen == nil {
+		c.Listen = listenTCP
+	}
 	return &Mesh{Config: c, selfID: nameHash(c.Self.Name), peers: make(map[string]*Peer), lastHeard: make(map[uint64]time.Duration), askers: make(map[string]*asker),
 		replan: make(chan struct{}, 1), lags: make(map[string]*tableLag)}
 }
@@ -156,7 +169,7 @@
 // Run listens at this daemon's address, answers calls and calls other daemons until
 // ctx ends. It returns an error if it cannot listen or serve.
 func (m *Mesh) Run(ctx context.Context) error {
-	l, err := netopt.Listen(ctx, m.Self.Address, ackTimeout)
+	l, err := m.Listen(ctx, m.Self.Address)
 	if err != nil {
 		return errors.Wrapf(err, "listen for daemons on %s", m.Self.Address)
 	}
@@ -454,3 +467,9 @@
 	}
 	return now - m.peersReadAt
 }
+
+// Delegated reports whether this daemon need not read the store because a hub does so for
+// it.
+func (m *Mesh) Delegated() bool {
+	return m.Role() == Member && m.PeersReadAge() < delegationAge
+}
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -36,10 +36,6 @@
 	// firstReadPoll is the interval of checks whether the store has answered for the first
 	// time.
 	firstReadPoll = 20 * time.Millisecond
-	// delegationAge is the age of the last read by another daemon up to which a member does
-	// not read the store itself. A hub's read takes up to maxHubWait, and one or two
-	// exchanges pass until its members know of it.
-	delegationAge = 2 * time.Second
 )
 
 // newViews creates the local copies of the store's tables.
@@ -51,7 +47,7 @@
 			MaxWait:        func() time.Duration { return n.changeWait(wait) },
 			HoldFor:        hold,
 			PeersReadStore: func() bool { return n.mesh.PeersReadStore() },
-			Delegated:      n.delegated,
+			Delegated:      func() bool { return n.mesh.Delegated() },
 			ReadDelay:      func() time.Duration { return n.readDelay(minDelay) },
 			OnChange:       onChange,
 		})
@@ -107,12 +103,6 @@
 	return minDelay
 }
 
-// delegated reports whether this daemon need not read the store because a hub does so
-// for it.
-func (n *Node) delegated() bool {
-	return n.mesh.Role() == mesh.Member && n.mesh.PeersReadAge() < delegationAge
-}
-
 // StoreUp returns how long the store has answered this daemon without a failure, 0
 // while it does not. It may be called from any goroutine.
 func (n *Node) StoreUp() time.Duration {
