Tables go from hub to member in pieces, on a connection of their own

Callers saw: changes of the configuration in force late or never (CONFIG), requests at upstreams that had said that they leave (DRAIN), requests under their limit refused with 429. One cause: a member read all tables from its hub, in an order by chance, within the 400 ms of the exchange of States, closed the connection when those were over and began anew, while it left the store to the hub. 2,800 routes take 0.57 s at 10 Mbit/s.

Class: a time limit on work whose size is not bounded, without progress.

Now: a reader for each link reads pieces of at most 16 KB, of each table in turn, on a connection of its own. What was read stays: any daemon with the same rows continues it. The exchange of States no longer waits for tables, and a failed read no longer makes a hub count as lost.

Messages gain fields only; older daemons read and send whole tables as before (TestTablesBetweenBuilds).

--- a/internal/mesh/bulk_test.go
+++ b/internal/mesh/bulk_test.go
@@ -157,6 +157,8 @@
 	host  *host
 	views map[string]*views.View
 	cut   bool // cannot reach the store
+	kill  context.CancelFunc
+	ended func() bool // was killed
 
 	mu       sync.Mutex
 	versions map[string][]versionAt // by table
@@ -284,10 +286,12 @@
 }
 
 func (f *bulkFleet) start(d *bulkDaemon) {
+	ctx, cancel := context.WithCancel(f.ctx)
+	d.kill, d.ended = cancel, func() bool { return ctx.Err() != nil }
 	for _, v := range d.views {
-		go v.Run(f.ctx)
+		go v.Run(ctx)
 	}
-	go func() { assert.Check(f.t, d.Run(f.ctx)) }()
+	go func() { assert.Check(f.t, d.Run(ctx)) }()
 }
 
 // routesText returns a configuration of n routes, which differ as those of operators do.
@@ -312,10 +316,24 @@
 	return fmt.Appendf(nil, `{"service":"assistant","address":"10.9.0.%d:8342","zone":"z1","version":"v1","slots":16,"state":%q,"seqNo":1}`, i, state)
 }
 
+// hubs returns the daemons that act as hubs.
+func (f *bulkFleet) hubs() []*bulkDaemon {
+	var list []*bulkDaemon
+	for _, d := range f.daemons {
+		if d.Role() == Hub {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
 // slowest returns how long after a time the last daemon had a version of a table, and how
 // many do not have it.
 func (f *bulkFleet) slowest(table string, version int64, since time.Time) (d time.Duration, missing int) {
 	for _, daemon := range f.daemons {
+		if daemon.ended() {
+			continue
+		}
 		at, ok := daemon.reached(table, version)
 		if !ok {
 			missing++
@@ -386,3 +404,31 @@
 		})
 	}
 }
+
+// TestTableChangesFasterThanItIsRead writes a large configuration ten times a second. Every
+// daemon must get ever newer versions meanwhile, and the last one in time.
+func TestTableChangesFasterThanItIsRead(t *testing.T) {
+	const n = 15
+	runBulkFleet(t, n, 3, 10, func(f *bulkFleet) {
+		began := time.Now()
+		last := int64(0)
+		for i := range 60 {
+			last = f.store.put(configTable, "config", routesText(8000, uint64(i)))
+			time.Sleep(100 * time.Millisecond)
+		}
+		lastAt := time.Now()
+		time.Sleep(2 * applyBound(n))
+		inForce, lacking := f.slowest(configTable, last, lastAt)
+		assert.Assert(t, lacking == 0 && inForce < applyBound(n), "the last one is in force after %v, not at %d daemons", inForce, lacking)
+		for _, d := range f.daemons {
+			before := began
+			for _, v := range d.versions[configTable] {
+				if v.at.Before(began) {
+					continue
+				}
+				assert.Assert(t, v.at.Sub(before) < applyBound(n), "%s had no newer version for %v", d.Self.Name, v.at.Sub(before))
+				before = v.at
+			}
+		}
+	})
+}
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -13,7 +12,6 @@
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
 	"github.com/lagoonmux/lagoonmux/internal/mesh/meshpb"
 	"github.com/lagoonmux/lagoonmux/internal/netopt"
-	"github.com/lagoonmux/lagoonmux/internal/views"
 )
 
 const (
@@ -61,7 +59,9 @@
 			if running[address] == nil {
 				linkCtx, cancel := context.WithCancel(ctx)
 				running[address] = cancel
-				go (&link{mesh: m, address: address}).run(linkCtx)
+				l := &link{mesh: m, address: address, tables: newTableReader(m, address)}
+				go l.run(linkCtx)
+				go l.tables.run(linkCtx)
 			}
 		}
 		m.checkTables(boottime.Now())
@@ -87,7 +87,8 @@
 	conn     *drpcconn.Conn // nil while disconnected
 	peer     string         // name of the daemon; empty until its first response
 	failures int            // calls in a row
-	listedAt time.Duration  // boot time of the last request for the daemon's list of known daemons; 0 for never
+	tables   *tableReader
+	listedAt time.Duration // boot time of the last request for the daemon's list of known daemons; 0 for never
 }
 
 // run calls the daemon until ctx ends.
@@ -134,8 +135,7 @@
 	return s
 }
 
-// exchange sends this daemon's State, processes the State in the response, and reads
-// the changes of tables of which the called daemon has a newer version.
+// exchange sends this daemon's State and processes the State in the response.
 func (l *link) exchange(ctx context.Context) error {
 	if l.conn == nil {
 		conn, err := l.mesh.connect(ctx, l.address)
@@ -160,37 +160,6 @@
 		l.listedAt = now
 	}
 	l.mesh.receive(s, boottime.Now())
-	for _, t := range s.Tables {
-		if err := l.syncTable(ctx, client, t); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// syncTable reads the changes of a table if the called daemon has a newer version of
-// it.
-func (l *link) syncTable(ctx context.Context, client meshpb.DRPCMeshClient, t *meshpb.Table) error {
-	v := l.mesh.Views[t.Name]
-	if v == nil {
-		return nil
-	}
-	assumed := v.AssumedEra()
-	told := l.mesh.toldVersion(t)
-	if told <= v.Version() {
-		return nil
-	}
-	era, number := views.SplitVersion(v.Version())
-	began := boottime.Now()
-	out, err := client.Rows(ctx, &meshpb.TableRequest{Name: t.Name, Since: number, Era: era})
-	if err != nil {
-		l.mesh.recordFailedRead(t.Name, l.peer, told, boottime.Now()-began, err)
-		return errors.Wrapf(err, "read table %s from %s", t.Name, l.address)
-	}
-	rows := make([]views.Row, len(out.Rows))
-	for i, r := range out.Rows {
-		rows[i] = views.Row{Key: r.Key, Value: r.Value, Version: views.MakeVersion(cmp.Or(r.Era, assumed), r.Version), Removed: r.Removed}
-	}
-	v.Merge(rows, views.MakeVersion(cmp.Or(out.Era, assumed), out.Changed), out.Whole, l.peer)
+	l.tables.setOffer(offer{l.peer, s.Tables})
 	return nil
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -19,6 +19,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -46,7 +48,8 @@
 	// ackTimeout is how long sent bytes may stay unacknowledged before the connection is
 	// closed.
 	ackTimeout = time.Second
-	// maxMessageBytes has room for a table of thousands of rows.
+	// maxMessageBytes has room for all rows of a table, which a daemon of an older build sends
+	// in one message.
 	maxMessageBytes = 4 << 20
 	// maxDelay is how much longer a State may take to arrive than the fastest one from
 	// the same daemon. Slower ones were queued in the sockets of a daemon that was
@@ -152,6 +155,8 @@
 	askers      map[string]*asker        // by address
 	replan      chan struct{}            // signals that a new daemon is known
 	lags        map[string]*tableLag     // by table
+	partials    map[string]*partialRead  // tables that are being read in pieces, by name
+	pieces      pieceServer
 }
 
 // New returns a Mesh that has not started; see Run.
@@ -163,7 +168,7 @@
 		c.Listen = listenTCP
 	}
 	return &Mesh{Config: c, selfID: nameHash(c.Self.Name), peers: make(map[string]*Peer), lastHeard: make(map[uint64]time.Duration), askers: make(map[string]*asker),
-		replan: make(chan struct{}, 1), lags: make(map[string]*tableLag)}
+		replan: make(chan struct{}, 1), lags: make(map[string]*tableLag), partials: make(map[string]*partialRead)}
 }
 
 // Run listens at this daemon's address, answers calls and calls other daemons until
@@ -379,19 +384,32 @@
 }
 
 // Rows implements meshpb.DRPCMeshServer.
-func (m *Mesh) Rows(_ context.Context, req *meshpb.TableRequest) (*meshpb.TableRows, error) {
+func (m *Mesh) Rows(ctx context.Context, req *meshpb.TableRequest) (*meshpb.TableRows, error) {
 	v := m.Views[req.Name]
 	if v == nil {
 		return nil, errors.Errorf("unknown table %q", req.Name)
 	}
-	rows, newest, snapshot := v.Since(views.MakeVersion(req.Era, req.Since))
+	reader, _ := drpcctx.Transport(ctx)
+	if piece := m.pieces.next(req, reader, boottime.Now()); piece != nil {
+		return &meshpb.TableRows{Piece: piece}, nil
+	}
+	out := encodeRows(v.Since(views.MakeVersion(req.Era, req.Since)))
+	if req.MaxBytes == 0 || proto.Size(out) <= int(req.MaxBytes) {
+		return out, nil
+	}
+	piece, err := m.pieces.add(out, req, reader, boottime.Now())
+	return &meshpb.TableRows{Piece: piece}, err
+}
+
+// encodeRows encodes what views.View.Since returns.
+func encodeRows(rows []views.Row, newest int64, snapshot bool) *meshpb.TableRows {
 	era, number := views.SplitVersion(newest)
 	out := &meshpb.TableRows{Changed: number, Era: era, Whole: snapshot}
 	for _, r := range rows {
 		era, number := views.SplitVersion(r.Version)
 		out.Rows = append(out.Rows, &meshpb.Row{Key: r.Key, Value: r.Value, Version: number, Era: era, Removed: r.Removed})
 	}
-	return out, nil
+	return out
 }
 
 // Ask implements meshpb.DRPCMeshServer.
--- a/internal/mesh/network_test.go
+++ b/internal/mesh/network_test.go
@@ -26,6 +26,10 @@
 	mu        sync.Mutex
 	hosts     map[string]*host
 	listeners map[string]*memListener
+	// silentFrom makes nothing arrive on the connections from one host to another from the
+	// nth one on; 0 for none.
+	silentFrom int
+	dialed     map[[2]*host][]*pipe // answers on the connections from one host to another
 }
 
 // host is a VM with a link.
@@ -42,7 +46,7 @@
 }
 
 func newNetwork() *network {
-	return &network{hosts: make(map[string]*host), listeners: make(map[string]*memListener)}
+	return &network{hosts: make(map[string]*host), listeners: make(map[string]*memListener), dialed: make(map[[2]*host][]*pipe)}
 }
 
 func (n *network) addHost(address string, mbit float64) *host {
@@ -77,6 +81,11 @@
 			return nil, errors.Errorf("no listener at %s", address)
 		}
 		there, back := newPipe(n, from, to), newPipe(n, to, from)
+		n.mu.Lock()
+		pair := [2]*host{from, to}
+		n.dialed[pair] = append(n.dialed[pair], back)
+		back.silent = n.silentFrom > 0 && len(n.dialed[pair]) >= n.silentFrom
+		n.mu.Unlock()
 		select {
 		case l.conns <- &memConn{in: there, out: back}:
 			return &memConn{in: back, out: there}, nil
@@ -87,6 +96,21 @@
 	}
 }
 
+// silence makes nothing arrive any more on the connections from one host to another from the
+// nth one on.
+func (n *network) silence(nth int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silentFrom = nth
+	for _, pipes := range n.dialed {
+		for _, p := range pipes[min(nth-1, len(pipes)):] {
+			p.mu.Lock()
+			p.silent = true
+			p.mu.Unlock()
+		}
+	}
+}
+
 // listen returns the function with which a host accepts connections.
 func (n *network) listen() func(ctx context.Context, address string) (net.Listener, error) {
 	return func(_ context.Context, address string) (net.Listener, error) {
@@ -137,6 +161,7 @@
 type pipe struct {
 	net      *network
 	from, to *host
+	silent   bool // nothing arrives
 
 	mu       sync.Mutex
 	segments []segment
@@ -172,6 +197,9 @@
 		p.net.mu.Lock()
 		at := p.to.down.carry(size, p.from.up.carry(size, time.Now())).Add(netLatency)
 		p.net.mu.Unlock()
+		if p.silent {
+			at = at.Add(time.Hour)
+		}
 		p.segments = append(p.segments, segment{append([]byte(nil), b[n:n+size]...), at})
 		p.unread += size
 		n += size
--- a/internal/mesh/tables.go
+++ b/internal/mesh/tables.go
@@ -30,6 +30,7 @@
 	told        int64         // see TableStatus
 	toldBy      string        // name of a daemon
 	behindSince time.Duration // boot time since which the copy has lacked told changes; 0 if it has them
+	progressAt  time.Duration // boot time of the last piece read
 	logged      bool          // since behindSince
 	failedReads int64
 	failedInRow uint
