A member reads a table from the store once its hub delivers no part of it

What callers see otherwise: a daemon whose connection for tables to its hub went silent, while that for States works, keeps its old configuration and upstreams (CONFIG, DRAIN), since it leaves the store to a hub that reads it.

A member that knows of a newer version and has got no part of it for a second logs 'hub bypassed' and reads the table from the store until it has that version.

--- a/internal/mesh/bulk_test.go
+++ b/internal/mesh/bulk_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -236,7 +237,7 @@
 			Table: table, Log: log,
 			MaxWait:        func() time.Duration { return 750 * time.Millisecond },
 			PeersReadStore: func() bool { return d.PeersReadStore() },
-			Delegated:      func() bool { return d.Delegated() },
+			Delegated:      func() bool { return d.Delegated(table) },
 			ReadDelay:      func() time.Duration { return 100 * time.Millisecond },
 			OnChange:       func(rows map[string]views.Row) { d.onChange(table, rows) },
 		})
@@ -432,3 +433,31 @@
 		}
 	})
 }
+
+// TestHubThatDoesNotDeliverIsBypassed lets every connection on which members read tables from
+// hubs go silent, while those for States work. All members must notice, say so, and have the
+// configuration in time; together they must not overload the store.
+func TestHubThatDoesNotDeliverIsBypassed(t *testing.T) {
+	const n = 69
+	runBulkFleet(t, n, 3, 10, func(f *bulkFleet) {
+		f.net.silence(2) // the first one is for States
+		members := 0
+		for _, d := range f.daemons {
+			if d.Role() == Member {
+				members++
+			}
+		}
+		reads := f.store.reads
+		began := time.Now()
+		config := f.store.put(configTable, "config", routesText(1400, 1))
+		time.Sleep(applyBound(n))
+		inForce, lacking := f.slowest(configTable, config, began)
+		made := f.store.reads - reads
+		t.Logf("in force after %v; %d reads of the store in %v by %d members", inForce, made, applyBound(n), members)
+		assert.Check(t, lacking == 0 && inForce < applyBound(n), "in force after %v, not at %d daemons", inForce, lacking)
+		assert.Check(t, made < 6*members, "%d reads of the store", made)
+		f.logMu.Lock()
+		defer f.logMu.Unlock()
+		assert.Check(t, strings.Count(f.log.String(), "hub bypassed: table=op") >= members*9/10, "%d members", members)
+	})
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -486,8 +486,8 @@
 	return now - m.peersReadAt
 }
 
-// Delegated reports whether this daemon need not read the store because a hub does so for
-// it.
-func (m *Mesh) Delegated() bool {
-	return m.Role() == Member && m.PeersReadAge() < delegationAge
+// Delegated reports whether this daemon need not read a table of the store because a hub does
+// so for it and passes it on.
+func (m *Mesh) Delegated(table string) bool {
+	return m.Role() == Member && m.PeersReadAge() < delegationAge && !m.bypassesHub(table)
 }
--- a/internal/mesh/tables.go
+++ b/internal/mesh/tables.go
@@ -15,6 +15,10 @@
 // before that is logged.
 const behindLogAfter = time.Second
 
+// stallTimeout is how long a member waits for the next piece of a table from its hub before it
+// reads the table from the store itself.
+const stallTimeout = time.Second
+
 // TableStatus describes this daemon's copy of a table of the store.
 type TableStatus struct {
 	Name        string
@@ -23,6 +27,7 @@
 	ToldBy      string        // name of that daemon
 	Behind      time.Duration // time for which the copy has lacked told changes; 0 if it has them
 	FailedReads int64         // reads from other daemons, since the start
+	Bypasses    int64         // times that this member had to read the table from the store itself, since the start
 }
 
 // tableLag tracks how far this daemon's copy of a table is behind other daemons'.
@@ -34,6 +39,8 @@
 	logged      bool          // since behindSince
 	failedReads int64
 	failedInRow uint
+	bypassed    bool // this member reads the table from the store itself
+	bypasses    int64
 }
 
 // lag returns the state of a table, a new one if there is none. The caller holds mu.
@@ -73,32 +80,61 @@
 }
 
 // checkTables compares this daemon's copies of tables with the versions told by others, and
-// logs copies that stay behind and those that caught up.
+// logs copies that stay behind, those that this member reads itself therefore, and those that
+// caught up.
 func (m *Mesh) checkTables(now time.Duration) {
 	for name, v := range m.Views {
 		known := v.KnownVersion()
 		m.mu.Lock()
 		l := m.lag(name)
 		before := *l
-		switch {
-		case l.told <= known:
-			l.behindSince, l.logged, l.failedInRow = 0, false, 0
-		case l.behindSince == 0:
-			l.behindSince = now
-		case now-l.behindSince > behindLogAfter:
-			l.logged = true
-		}
-		after := *l
+		l.update(known, m.role == Member, now)
+		after, hub := *l, m.hub
 		m.mu.Unlock()
-		switch {
-		case after.logged && !before.logged:
+		if after.logged && !before.logged {
 			m.Log.Warn("table behind", "table", name, "version", known, "told", after.told, "told_by", after.toldBy, "for", now-after.behindSince)
-		case before.logged && !after.logged:
+		}
+		if after.bypassed && !before.bypassed {
+			m.Log.Warn("hub bypassed", "table", name, "hub", hub, "version", known, "told", after.told, "no_progress_for", after.idle(now))
+		}
+		if before.logged && !after.logged {
 			m.Log.Info("table caught up", "table", name, "version", known, "after", now-before.behindSince)
 		}
 	}
 }
 
+// update compares the version that this daemon knows with the told one.
+func (l *tableLag) update(known int64, member bool, now time.Duration) {
+	if l.told <= known {
+		l.behindSince, l.logged, l.failedInRow, l.bypassed = 0, false, 0, false
+		return
+	}
+	if l.behindSince == 0 {
+		l.behindSince = now
+	}
+	l.logged = l.logged || now-l.behindSince > behindLogAfter
+	if member && !l.bypassed && l.idle(now) > stallTimeout {
+		l.bypassed = true
+		l.bypasses++
+	}
+}
+
+// idle returns the time for which this daemon has got no part of the changes that it lacks.
+func (l *tableLag) idle(now time.Duration) time.Duration {
+	if l.behindSince == 0 {
+		return 0
+	}
+	return now - max(l.behindSince, l.progressAt)
+}
+
+// bypassesHub reports whether this daemon reads a table from the store because its hub does
+// not deliver it.
+func (m *Mesh) bypassesHub(table string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lag(table).bypassed
+}
+
 // recordFailedRead counts a failed read of a table from a daemon. It logs the first failure in
 // a row and then ever fewer.
 func (m *Mesh) recordFailedRead(table, peer string, told int64, took time.Duration, err error) {
@@ -121,7 +157,7 @@
 		version := m.Views[name].KnownVersion()
 		m.mu.Lock()
 		l := m.lag(name)
-		s := TableStatus{Name: name, Version: version, Told: l.told, ToldBy: l.toldBy, FailedReads: l.failedReads}
+		s := TableStatus{Name: name, Version: version, Told: l.told, ToldBy: l.toldBy, FailedReads: l.failedReads, Bypasses: l.bypasses}
 		if l.behindSince > 0 {
 			s.Behind = now - l.behindSince
 		}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -100,7 +100,7 @@
 func (n *Node) writeTableMetrics(w io.Writer) {
 	for _, s := range n.mesh.TableStatuses(boottime.Now()) {
 		_, _ = fmt.Fprintf(w, "lagoonmux_table_version{table=%q} %d\nlagoonmux_table_told_version{table=%q} %d\n", s.Name, s.Version, s.Name, s.Told)
-		_, _ = fmt.Fprintf(w, "lagoonmux_table_behind_ms{table=%q} %d\nlagoonmux_table_failed_reads_total{table=%q} %d\n",
-			s.Name, s.Behind.Milliseconds(), s.Name, s.FailedReads)
+		_, _ = fmt.Fprintf(w, "lagoonmux_table_behind_ms{table=%q} %d\nlagoonmux_table_failed_reads_total{table=%q} %d\nlagoonmux_table_bypasses_total{table=%q} %d\n",
+			s.Name, s.Behind.Milliseconds(), s.Name, s.FailedReads, s.Name, s.Bypasses)
 	}
 }
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -47,7 +47,7 @@
 			MaxWait:        func() time.Duration { return n.changeWait(wait) },
 			HoldFor:        hold,
 			PeersReadStore: func() bool { return n.mesh.PeersReadStore() },
-			Delegated:      func() bool { return n.mesh.Delegated() },
+			Delegated:      func() bool { return n.mesh.Delegated(table) },
 			ReadDelay:      func() time.Duration { return n.readDelay(minDelay) },
 			OnChange:       onChange,
 		})
