A hub whose process is gone is left at once, not after a second

What callers see otherwise: changes come late to the members of a hub that was killed (CONFIG, DRAIN): members noticed at their second failed call, 0.5 s after the first, and looked for another hub within 0.25 s of that.

Same cause elsewhere: the first read of a new hub. A call that fails within 100 ms has found the process gone; the next follows after 50 ms, and the second failure makes the daemon plan at once. Calls that time out are counted as before.

--- a/internal/mesh/bulk_test.go
+++ b/internal/mesh/bulk_test.go
@@ -406,6 +406,26 @@
 	}
 }
 
+// TestHubsKilledDuringRead kills two of three hubs while their members read a large
+// configuration. It must be in force at all others within the bound all the same.
+func TestHubsKilledDuringRead(t *testing.T) {
+	const n = 69
+	runBulkFleet(t, n, 3, 10, func(f *bulkFleet) {
+		began := time.Now()
+		config := f.store.put(configTable, "config", routesText(10000, 1))
+		time.Sleep(600 * time.Millisecond) // some have read it, others a part
+		_, lacking := f.slowest(configTable, config, began)
+		assert.Assert(t, lacking > 0, "no daemon is reading any more")
+		for _, h := range f.hubs()[:2] {
+			h.kill()
+		}
+		time.Sleep(2 * applyBound(n))
+		inForce, lacking := f.slowest(configTable, config, began)
+		t.Logf("in force after %v", inForce)
+		assert.Assert(t, lacking == 0 && inForce < applyBound(n), "in force after %v, not at %d daemons", inForce, lacking)
+	})
+}
+
 // TestTableChangesFasterThanItIsRead writes a large configuration ten times a second. Every
 // daemon must get ever newer versions meanwhile, and the last one in time.
 func TestTableChangesFasterThanItIsRead(t *testing.T) {
@@ -461,3 +481,22 @@
 		assert.Check(t, strings.Count(f.log.String(), "hub bypassed: table=op") >= members*9/10, "%d members", members)
 	})
 }
+
+// TestLeavingKnownAfterHubsAreKilled kills all hubs at the moment at which an upstream
+// announces that it leaves. All others must know it within the bound.
+func TestLeavingKnownAfterHubsAreKilled(t *testing.T) {
+	for _, n := range []int{15, 69, 150} {
+		runBulkFleet(t, n, 3, 10, func(f *bulkFleet) {
+			time.Sleep(time.Duration(n) * time.Millisecond)
+			for _, h := range f.hubs() {
+				h.kill()
+			}
+			began := time.Now()
+			leaving := f.store.put(upstreamTable, "u7", upstreamText(7, "draining"))
+			time.Sleep(2 * applyBound(n))
+			known, unaware := f.slowest(upstreamTable, leaving, began)
+			t.Logf("%d daemons: leaving known after %v", n, known)
+			assert.Check(t, unaware == 0 && known < applyBound(n), "%d daemons: leaving known after %v, not at %d", n, known, unaware)
+		})
+	}
+}
--- a/internal/mesh/link.go
+++ b/internal/mesh/link.go
@@ -26,6 +26,10 @@
 	// called only once per slowInterval.
 	slowAfterFailures = 20
 	slowInterval      = time.Second
+	// A call that fails within quickFailure has found the daemon's process gone. The next one
+	// follows after confirmInterval, so that another hub takes over soon.
+	quickFailure    = 100 * time.Millisecond
+	confirmInterval = 50 * time.Millisecond
 )
 
 // dialTCP opens a TCP connection to a daemon.
@@ -95,17 +99,16 @@
 func (l *link) run(ctx context.Context) {
 	defer l.closeConn()
 	for ctx.Err() == nil {
+		began := boottime.Now()
+		wait := l.mesh.Interval()
 		if err := l.exchange(ctx); err != nil && ctx.Err() == nil {
 			l.closeConn()
 			l.failures++
 			l.mesh.recordFailure(l.address, err, boottime.Now())
+			wait = l.retryDelay(boottime.Now()-began, wait)
 		} else {
 			l.failures = 0
 		}
-		wait := l.mesh.Interval()
-		if l.failures > slowAfterFailures {
-			wait = max(wait, slowInterval)
-		}
 		wait += rand.N(wait / 5) // jitter keeps daemons from calling at the same moment
 		select {
 		case <-ctx.Done():
@@ -114,6 +117,17 @@
 	}
 }
 
+// retryDelay returns the time until the next call after one that failed and took some time.
+func (l *link) retryDelay(took, interval time.Duration) time.Duration {
+	switch {
+	case l.failures < downAfterFailures && took < quickFailure:
+		return confirmInterval
+	case l.failures > slowAfterFailures:
+		return max(interval, slowInterval)
+	}
+	return interval
+}
+
 func (l *link) closeConn() {
 	if l.conn != nil {
 		_ = l.conn.Close()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -153,7 +153,7 @@
 	hubCountsAt time.Duration            // boot time
 	peersReadAt time.Duration            // boot time at which the store last answered another daemon; 0 for never
 	askers      map[string]*asker        // by address
-	replan      chan struct{}            // signals that a new daemon is known
+	replan      chan struct{}            // signals that the set of daemons to call may have changed
 	lags        map[string]*tableLag     // by table
 	partials    map[string]*partialRead  // tables that are being read in pieces, by name
 	pieces      pieceServer
@@ -241,9 +241,13 @@
 		changed = true
 	}
 	m.mu.Unlock()
-	if !changed {
-		return
+	if changed {
+		m.planSoon()
 	}
+}
+
+// planSoon makes manageLinks update the set of daemons to call without delay.
+func (m *Mesh) planSoon() {
 	select {
 	case m.replan <- struct{}{}:
 	default:
--- a/internal/mesh/plan.go
+++ b/internal/mesh/plan.go
@@ -332,6 +332,9 @@
 		if p.failures == lostAfterFailures {
 			m.Log.Warn("daemon lost", "peer", name, "address", address, "error", err)
 		}
+		if p.failures == downAfterFailures {
+			m.planSoon() // it may have been this member's hub
+		}
 		if p.failures >= downAfterFailures {
 			p.downUntil = now + min(minDownTime<<min(p.failures-downAfterFailures, maxDownShift), maxDownTime)
 		}
