A response of the store that has begun is read on while its bytes arrive

Callers of a daemon on a slow link got 503, or an old configuration: a configuration of 10,000 routes takes 2.4 to 2.8 s from the store at 10 Mbit/s, a list had 2 s and a change 0.6 s after its wait, and after that all began anew.

Writes, leases and other small calls keep their deadlines.

--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -66,6 +66,7 @@
 	oldResponses  bool          // calls that a restore overtakes get their response
 	loseResponses bool          // writes are executed but get no response
 	delay         time.Duration // before each call is executed
+	rate          int           // bytes of responses per second, of each connection; 0 for no limit
 }
 
 // Listen serves the store at a free loopback address.
@@ -128,6 +129,31 @@
 	e.delay = by
 }
 
+// SetRate limits the bytes of responses per second, as a slow link does; 0 lifts the limit.
+func (e *Endpoint) SetRate(bytes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rate = bytes
+}
+
+// writeBody writes the body of a response at the rate of the endpoint.
+func (e *Endpoint) writeBody(w http.ResponseWriter, body []byte) {
+	e.mu.Lock()
+	rate := e.rate
+	e.mu.Unlock()
+	const tick = 10 * time.Millisecond
+	for rate > 0 && len(body) > 0 {
+		n := min(len(body), max(rate/int(time.Second/tick), 1))
+		if _, err := w.Write(body[:n]); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		body = body[n:]
+		time.Sleep(tick)
+	}
+	_, _ = w.Write(body)
+}
+
 func (e *Endpoint) faults() (status int, silent, loseResponses bool, delay time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -161,10 +187,14 @@
 		if lost && r.Method == http.MethodPost {
 			panic(http.ErrAbortHandler)
 		}
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			panic(err) // the stand-in's own types
+		}
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 		w.WriteHeader(status)
-		_ = json.NewEncoder(w).Encode(body)
+		e.writeBody(w, append(encoded, '\n'))
 	}
 }
 
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -37,7 +37,8 @@
 }
 
 // Source reads tables of the store. Its methods are safe for concurrent use; their errors
-// name the operation and the server.
+// name the operation and the server. The deadline of a call's context bounds the time until
+// its response begins: a large one on a slow link may take longer while it makes progress.
 type Source interface {
 	// List returns all rows.
 	List(ctx context.Context, table string) (Page, error)
@@ -50,7 +51,7 @@
 	// responseSlack is added to the wait of a long poll to get its timeout: a slow store
 	// was seen to take 60 times 4 ms for a response.
 	responseSlack = 600 * time.Millisecond
-	// listTimeout bounds a read of all rows of a table.
+	// listTimeout bounds the time until the response to a read of all rows of a table begins.
 	listTimeout = 2 * time.Second
 	// minRetryDelay and maxRetryDelay bound the random pause after an error, so that a daemon
 	// recovers soon after the store does and 460 daemons retry with less than 2,000
