--- a/internal/mesh/pieces.go
+++ b/internal/mesh/pieces.go
@@ -60,10 +60,13 @@
 // next returns the next piece of the content that the request names. It returns nil if that
 // is not known here.
 func (s *pieceServer) next(req *meshpb.TableRequest, reader any, now time.Duration) *meshpb.Piece {
+	if req.Content == 0 {
+		return nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.contents = slices.DeleteFunc(s.contents, func(c *content) bool { return now-c.usedAt > contentTTL })
-	i := slices.IndexFunc(s.contents, func(c *content) bool { return c.id == req.Content && req.Content != 0 })
+	i := slices.IndexFunc(s.contents, func(c *content) bool { return c.id == req.Content })
 	if i < 0 {
 		return nil
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,8 +139,9 @@
 	metrics      *metrics
 	grace        atomic.Int64 // time.Duration of the grace period; see Settings.Grace
 	stopping     atomic.Bool
-	finalized    atomic.Int64 // newest usage window that is final, as far as other daemons have told
-	rowWritten   atomic.Bool  // this daemon's own row is in the store
+	finalized    atomic.Int64   // newest usage window that is final, as far as other daemons have told
+	rowWritten   atomic.Bool    // this daemon's own row is in the store
+	configRows   chan views.Row // the newest configuration row that is not in force yet; holds one
 }
 
 // New assembles a daemon; Run starts it.
@@ -157,6 +158,7 @@
 		pool:        egress.NewPool(),
 		usage:       usage.New(s.UsageWindow),
 		metrics:     newMetrics(),
+		configRows:  make(chan views.Row, 1),
 	}
 	n.limiter = &limiter{n}
 	n.throttle = newUpstreamThrottle(n)
@@ -215,13 +217,39 @@
 	return n.MaxConfigAge > 0 && min(n.configView.ReadAge(), n.mesh.PeersReadAge()) > n.MaxConfigAge
 }
 
-// onConfig decodes the configuration row and, if its version is newer, puts it into
-// force.
-func (n *Node) onConfig(rows map[string]views.Row) {
+// onConfigRows passes the rows on to followConfig. Decoding them may take long, for which the
+// caller, who reads other tables too, does not wait.
+func (n *Node) onConfigRows(rows map[string]views.Row) {
 	row, ok := rows[n.ConfigRow]
 	if !ok {
 		return
 	}
+	select {
+	case <-n.configRows:
+	default:
+	}
+	n.configRows <- row
+}
+
+// followConfig puts configurations into force until ctx ends.
+func (n *Node) followConfig(ctx context.Context) {
+	decoded := int64(0) // version of the row
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case row := <-n.configRows:
+			if row.Version != decoded {
+				decoded = row.Version
+				n.applyConfig(row)
+			}
+		}
+	}
+}
+
+// applyConfig decodes the configuration row and, if its version is newer, puts it into
+// force.
+func (n *Node) applyConfig(row views.Row) {
 	c, err := n.DecodeConfig(row.Value)
 	if err != nil {
 		n.log.Error("cannot decode the configuration, the previous one stays in force", "row_version", row.Version, "error", err)
@@ -287,6 +315,7 @@
 		go v.Run(servicesCtx) // not awaited: a read may outlast the drain and holds no resources
 	}
 	go n.runSegmentView(servicesCtx)
+	go n.followConfig(servicesCtx)
 	g.Go(func() error { return n.mesh.Run(servicesCtx) })
 	g.Go(func() error { return n.server.Run(n.CallerAddress) })
 	g.Go(func() error { return n.serveStatus(servicesCtx) })
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -52,7 +52,7 @@
 			OnChange:       onChange,
 		})
 	}
-	n.configView = view(n.ConfigTable, maxChangeWait, 0, 0, n.onConfig)
+	n.configView = view(n.ConfigTable, maxChangeWait, 0, 0, n.onConfigRows)
 	n.upstreamView = view(n.UpstreamTable, maxChangeWait, upstreamHold, upstreamReadDelay, n.roster.onRows)
 	n.segmentView = view(quarantineTable, daemonListWait, 0, daemonReadDelay, n.quarantine.onRows)
 	n.daemonView = view(daemonTable, daemonListWait, 0, daemonReadDelay, n.onDaemonRows)
