A member asks its hub again before it refuses a request by its own share

Callers got 429 under their limit while answers of the hub came later than 100 ms: the member then went by its own share, one of 69, and left the hub alone for a second. While the hub answers calls, a request that would be refused by that share is now asked about once more, for 400 ms. A hub that is gone costs no wait.

--- a/internal/mesh/ask.go
+++ b/internal/mesh/ask.go
@@ -16,6 +16,9 @@
 	// same daemon. A caller's request waits for the answer; the strictest latency targets
 	// are 100 ms and more.
 	askTimeout = 100 * time.Millisecond
+	// patientAskTimeout bounds the second question about a request that is refused unless the
+	// hub admits it. A hub that is up answers within it; see callTimeout.
+	patientAskTimeout = 400 * time.Millisecond
 	// askPause is how long a daemon is not asked after it failed to answer.
 	askPause = time.Second
 	// maxAskedHubs is the largest number of hubs that get the same question, one after the
@@ -41,7 +44,7 @@
 func (m *Mesh) AskHub(ctx context.Context, q *meshpb.Question) (*meshpb.Answer, error) {
 	err := ErrNoHub
 	for _, a := range m.hubAskers() {
-		out, askErr := a.ask(ctx, q)
+		out, askErr := a.ask(ctx, q, askTimeout)
 		if askErr == nil {
 			return out, nil
 		}
@@ -53,6 +56,21 @@
 	return nil, err
 }
 
+// AskHubAgain sends a question to this daemon's hub after AskHub has failed. It waits longer
+// for the answer, which may be late because this VM or a link is busy. It returns ErrNoHub if
+// the hub does not answer calls either.
+func (m *Mesh) AskHubAgain(ctx context.Context, q *meshpb.Question) (*meshpb.Answer, error) {
+	m.mu.Lock()
+	p := m.peers[m.hub]
+	if m.role != Member || p == nil || !m.answers(p, boottime.Now()) {
+		m.mu.Unlock()
+		return nil, ErrNoHub
+	}
+	a := m.asker(p.Daemon.Address)
+	m.mu.Unlock()
+	return a.ask(ctx, q, patientAskTimeout)
+}
+
 // hubAskers returns the askers of the hubs to ask, this daemon's own hub first. There
 // are none if this daemon is not a member.
 func (m *Mesh) hubAskers() []*asker {
@@ -92,7 +110,7 @@
 	m.mu.Lock()
 	a := m.asker(address)
 	m.mu.Unlock()
-	return a.ask(ctx, q)
+	return a.ask(ctx, q, askTimeout)
 }
 
 // closeAskers waits for questions in flight and closes their connections.
@@ -113,8 +131,10 @@
 	}
 }
 
-func (a *asker) ask(ctx context.Context, q *meshpb.Question) (*meshpb.Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+// ask sends a question and waits for the answer. With a timeout above askTimeout it also asks
+// a daemon that failed recently.
+func (a *asker) ask(ctx context.Context, q *meshpb.Question, timeout time.Duration) (*meshpb.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	select {
 	case a.sem <- struct{}{}:
@@ -122,7 +142,7 @@
 		return nil, errors.Wrapf(ctx.Err(), "wait to ask daemon %s", a.address)
 	}
 	defer func() { <-a.sem }()
-	if boottime.Now() < a.retryAt {
+	if timeout <= askTimeout && boottime.Now() < a.retryAt {
 		return nil, errors.Wrapf(ErrNoHub, "daemon %s failed recently", a.address)
 	}
 	out, err := a.call(ctx, q)
@@ -131,6 +151,7 @@
 		a.retryAt = boottime.Now() + askPause
 		return nil, errors.Wrapf(err, "ask daemon %s", a.address)
 	}
+	a.retryAt = 0
 	return out, nil
 }
 
--- a/internal/mesh/plan.go
+++ b/internal/mesh/plan.go
@@ -277,7 +277,7 @@
 func (m *Mesh) chooseHub(hubs []*meshpb.Daemon, now time.Duration) []string {
 	answers := func(name string) bool {
 		p := m.peers[name]
-		return p != nil && p.heardAt > 0 && now-p.heardAt <= m.reachTimeout() && p.failures < downAfterFailures
+		return p != nil && m.answers(p, now)
 	}
 	before := m.hub
 	switch {
@@ -299,6 +299,11 @@
 	return list
 }
 
+// answers reports whether a daemon answers calls. The caller holds mu.
+func (m *Mesh) answers(p *Peer, now time.Duration) bool {
+	return p.heardAt > 0 && now-p.heardAt <= m.reachTimeout() && p.failures < downAfterFailures
+}
+
 // isolated reports whether no other daemon is reachable. The caller holds mu.
 func (m *Mesh) isolated(now time.Duration) bool {
 	for _, p := range m.peers {
--- a/internal/node/limiter.go
+++ b/internal/node/limiter.go
@@ -15,17 +15,24 @@
 // among themselves. It implements proxy.Limiter.
 type limiter struct{ node *Node }
 
-// Take implements proxy.Limiter. A member whose hubs do not answer admits requests by
-// its own share of the limit.
+// Take implements proxy.Limiter. A member whose hubs do not answer in time admits requests by
+// its own share of the limit. That is small, so it asks again before it refuses one.
 func (l *limiter) Take(ctx context.Context, customer string, cost float64, now time.Duration) quota.Decision {
 	n := l.node
 	if n.mesh.Role() != mesh.Member {
 		return n.quota.Take(customer, cost, now)
 	}
-	a, err := n.mesh.AskHub(ctx, &meshpb.Question{Customer: customer, Cost: cost})
+	q := &meshpb.Question{Customer: customer, Cost: cost}
+	a, err := n.mesh.AskHub(ctx, q)
 	if err != nil {
 		n.metrics.unansweredQuestions.Add(1)
-		return n.quota.Take(customer, cost, now)
+		d := n.quota.Take(customer, cost, now)
+		if d.Admit {
+			return d
+		}
+		if a, err = n.mesh.AskHubAgain(ctx, q); err != nil {
+			return d
+		}
 	}
 	return quota.Decision{Admit: a.Ok, Wait: time.Duration(a.WaitMs) * time.Millisecond, Level: a.Level, Unsynced: a.Mine, Share: a.Share, PartitionShare: a.Part}
 }
