--- a/internal/mesh/pieces.go
+++ b/internal/mesh/pieces.go
@@ -16,8 +16,8 @@
 
 const (
 	// maxPiece is the largest piece of a table's rows. On the slowest links, of 10 Mbit/s, one
-	// takes 13 ms, for which other messages wait.
-	maxPiece = 16 << 10
+	// takes 26 ms, for which other messages wait.
+	maxPiece = 32 << 10
 	// minPiece is the smallest piece, if many daemons read at the same time.
 	minPiece = 1 << 10
 	// outstandingBytes is divided between the daemons that read pieces here at the same time,
