--- a/internal/mesh/pieces_test.go
+++ b/internal/mesh/pieces_test.go
@@ -156,3 +156,27 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// BenchmarkCompressRows compresses and decompresses configurations of the sizes in
+// docs/CAPACITY.md.
+func BenchmarkCompressRows(b *testing.B) {
+	for _, routes := range []int{100, 1400, 4000, 10000} {
+		rows := encodeRows([]views.Row{{Key: "config", Value: routesText(routes, 1), Version: 7}}, 7, false)
+		data, err := compressRows(rows)
+		assert.NilError(b, err)
+		b.Run(fmt.Sprint("compress ", routes), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = compressRows(rows)
+			}
+			b.ReportMetric(float64(len(rows.Rows[0].Value)), "plain-bytes")
+			b.ReportMetric(float64(len(data)), "sent-bytes")
+		})
+		b.Run(fmt.Sprint("decompress ", routes), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = decompressRows(data)
+			}
+		})
+	}
+}
