--- a/internal/mesh/bulk_test.go
+++ b/internal/mesh/bulk_test.go
@@ -71,6 +71,12 @@
 	return s.version
 }
 
+func (s *tableStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 // storeClient is one daemon's access to the store.
 type storeClient struct {
 	*tableStore
@@ -484,12 +490,12 @@
 				members++
 			}
 		}
-		reads := f.store.reads
+		reads := f.store.readCount()
 		began := time.Now()
 		config := f.store.put(configTable, "config", routesText(1400, 1))
 		time.Sleep(applyBound(n))
 		inForce, lacking := f.slowest(configTable, config, began)
-		made := f.store.reads - reads
+		made := f.store.readCount() - reads
 		t.Logf("in force after %v; %d reads of the store in %v by %d members", inForce, made, applyBound(n), members)
 		assert.Check(t, lacking == 0 && inForce < applyBound(n), "in force after %v, not at %d daemons", inForce, lacking)
 		assert.Check(t, made < 6*members, "%d reads of the store", made)
