Log what identifies a request that comes again

Upstreams end under requests that come again with the same path, caller and body (BUDGET), and no log line told whether two requests are the same. request and answer broken off have a hash of host, path, method, caller and body. No decision changes.

--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/lagoonmux/lagoonmux/internal/proxy"
@@ -17,7 +18,7 @@
 func (n *Node) AnswerBroken(b proxy.BrokenAnswer) {
 	n.metrics.addBroken(b.Stage)
 	n.log.Info("answer broken off", "id", b.Request.ID, "upstream", b.Upstream.ID, "service", b.Service, "stage", b.Stage.String(),
-		"first_age_ms", b.FirstAge.Milliseconds(), "segments", proxy.FormatSegments(b.Request.SharedPrompt()))
+		"first_age_ms", b.FirstAge.Milliseconds(), "content", strconv.FormatUint(b.Content, 16), "segments", proxy.FormatSegments(b.Request.SharedPrompt()))
 }
 
 // RequestEnded implements proxy.Observer. It counts the request in the metrics and logs it.
@@ -32,5 +33,5 @@
 		"status", r.Status, "end", r.Result.String(), "late", r.Late, "cut", r.Cut, "gone", r.Gone, "tries", r.Tries(),
 		"first_ms", first.Milliseconds(), "total_ms", total.Milliseconds(), "gap_ms", r.MaxGap.Milliseconds(),
 		"expected_ms", r.Expected.Milliseconds(), "missing", r.Prefill, "usable", r.Candidates, "home", r.Home, "ahead", r.Backlog, "running", r.Running,
-		"config", r.ConfigVersion, "retry_ms", r.RetryAfter.Milliseconds(), "may_have_run", r.MayHaveRun, "reason", r.Reason)
+		"config", r.ConfigVersion, "content", strconv.FormatUint(r.Content, 16), "retry_ms", r.RetryAfter.Milliseconds(), "may_have_run", r.MayHaveRun, "reason", r.Reason)
 }
--- a/internal/proxy/brokenanswer.go
+++ b/internal/proxy/brokenanswer.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
@@ -32,6 +33,7 @@
 // was complete.
 type BrokenAnswer struct {
 	Request  *Request
+	Content  uint64 // see Request.Content
 	Service  string
 	Upstream *roster.Upstream
 	Stage    Stage
@@ -58,6 +60,18 @@
 	return r.Prompt[:len(r.Prompt)-1]
 }
 
+// Content returns a hash of what identifies a request that a caller sends again: host, path,
+// method, caller and body.
+func (r *Request) Content(customer string) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{r.Host, r.Path, r.Method, customer} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return h.Sum64()
+}
+
 // FormatSegments lists the IDs of segments in hexadecimal, separated by commas, for logs.
 func FormatSegments(segments []place.Segment) string {
 	var b strings.Builder
@@ -84,7 +98,7 @@
 	if res != lost && res != broken || ctx.Err() != nil || !connectionEnded(err) {
 		return
 	}
-	b := BrokenAnswer{Request: a.req, Service: a.service.Name, Upstream: a.choice.Upstream, SentAt: a.sentAt}
+	b := BrokenAnswer{Request: a.req, Content: a.record.Content, Service: a.service.Name, Upstream: a.choice.Upstream, SentAt: a.sentAt}
 	b.Suspended = boottime.Now()-a.sentAt > time.Since(a.startTime)+maxClockGap
 	switch {
 	case a.responded:
--- a/internal/proxy/record.go
+++ b/internal/proxy/record.go
@@ -15,7 +15,8 @@
 	Service        string
 	Customer       string
 	Kind           catalog.Kind
-	ConfigVersion  int64 // version of the configuration that applied
+	ConfigVersion  int64  // version of the configuration that applied
+	Content        uint64 // see Request.Content; 0 if it was refused before
 	Arrived        time.Time
 	First          time.Time // when the first event, or a response without events, was complete; zero for none
 	Ended          time.Time
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -98,6 +98,7 @@
 	if r := t.resolve(c); r != nil {
 		return r
 	}
+	t.record.Content = req.Content(t.record.Customer)
 	timeout := t.route.Timeout
 	if req.Timeout > 0 {
 		timeout = min(timeout, req.Timeout)
