--- a/internal/standin/site/crash.go
+++ b/internal/standin/site/crash.go
@@ -19,6 +19,14 @@
 	u.crashSegment, u.onEnd = segment, onEnd
 }
 
+// CrashOnBody makes the upstream end soon after it begins to run a request with the body,
+// before the head of a response. onEnd is as for CrashOn.
+func (u *Upstream) CrashOnBody(body string, onEnd func(u *Upstream)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.crashBody, u.onEnd = body, onEnd
+}
+
 // End ends the upstream as a crash does.
 func (u *Upstream) End() {
 	u.mu.Lock()
@@ -48,12 +56,17 @@
 	return segment != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), segment+":")
 }
 
-// crashIfDue ends the upstream, and aborts the handler, if the run has the segment that
-// crashes it.
+// crashIfDue ends the upstream, and aborts the handler, if the run has the segment or the body
+// that crashes it.
 func (u *Upstream) crashIfDue(w http.ResponseWriter, run *Run) {
 	u.mu.Lock()
-	segment := u.crashSegment
+	segment, body := u.crashSegment, u.crashBody
 	u.mu.Unlock()
+	if body != "" && run.Body == body {
+		time.Sleep(crashDelay)
+		u.End()
+		panic(http.ErrAbortHandler)
+	}
 	if !run.HasSegment(segment) {
 		return
 	}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -79,6 +79,7 @@
 	raw           RawResponse // nil for none
 	sharedFault   *SharedFault
 	crashSegment  string    // prompt segment that ends the upstream; empty for none
+	crashBody     string    // body of a request that ends the upstream; empty for none
 	endedAt       time.Time // zero unless it has ended
 	onEnd         func(u *Upstream)
 }
