--- a/internal/mesh/quarantine_test.go
+++ b/internal/mesh/quarantine_test.go
@@ -137,7 +137,7 @@
 		c.sound++
 	}
 	table := c.tables[nd]
-	if v := table.Check(crashService, segments, anySoftware, c.now); v != nil && !(v.TrialDue && c.startTrial(nd, v.Segment)) {
+	if v := table.Check(crashService, segments, anySoftware, c.now); v != nil && !(v.TrialDue && c.startTrial(nd, v.Subject)) {
 		if !bad {
 			c.refused++
 		}
@@ -150,7 +150,7 @@
 }
 
 // startTrial asks the segment's arbiter, through the hub of a member.
-func (c *crashCluster) startTrial(nd *testNode, s quarantine.Segment) bool {
+func (c *crashCluster) startTrial(nd *testNode, s quarantine.Subject) bool {
 	for range 2 {
 		address, self := nd.arbiterAt(s.Hash(), c.now)
 		if self {
--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -26,7 +26,7 @@
 func DecodeSuspects(list []*meshpb.Suspect) []quarantine.Statement {
 	out := make([]quarantine.Statement, len(list))
 	for i, s := range list {
-		out[i] = quarantine.Statement{Segment: quarantine.Segment{Service: s.Service, ID: s.Segment}, Cleared: s.Cleared,
+		out[i] = quarantine.Statement{Subject: quarantine.Subject{Service: s.Service, ID: s.Segment}, Cleared: s.Cleared,
 			ClearedAge: millis(s.ClearedAgeMs), Quarantined: s.Quarantined, QuarantineAge: millis(s.QuarantineAgeMs), Ended: int(s.Ended),
 			Trials: int(s.Trials), TrialAge: millis(s.TrialAgeMs), Confirmed: s.Confirmed, Software: s.Software}
 		for _, e := range s.Ends {
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -83,7 +83,7 @@
 // statement is the reverse of newQuarantineRow.
 func (r *quarantineRow) statement(unixNow time.Duration) quarantine.Statement {
 	age := func(ms int64) time.Duration { return max(unixNow-time.Duration(ms)*time.Millisecond, time.Millisecond) }
-	s := quarantine.Statement{Segment: quarantine.Segment{Service: r.Service, ID: r.Segment}, Quarantined: true, QuarantineAge: age(r.SinceMS),
+	s := quarantine.Statement{Subject: quarantine.Subject{Service: r.Service, ID: r.Segment}, Quarantined: true, QuarantineAge: age(r.SinceMS),
 		Ended: r.Ended, Trials: r.Trials, Confirmed: r.Confirmed, Software: r.Software}
 	if r.TrialMS > 0 {
 		s.TrialAge = age(r.TrialMS)
@@ -174,7 +174,7 @@
 }
 
 // StartTrial implements proxy.Quarantine. The segment's arbiter, one daemon for all, decides.
-func (q *segmentQuarantine) StartTrial(ctx context.Context, s quarantine.Segment) bool {
+func (q *segmentQuarantine) StartTrial(ctx context.Context, s quarantine.Subject) bool {
 	asked := boottime.Now()
 	a := q.answer(context.WithoutCancel(ctx), &meshpb.Question{Segment: s.Hash()}, false)
 	if !a.Ok || boottime.Now()-asked > trialPermitTTL {
@@ -223,7 +223,7 @@
 }
 
 // quarantineKey returns the key of a segment's row.
-func quarantineKey(s quarantine.Segment) string {
+func quarantineKey(s quarantine.Subject) string {
 	return strconv.FormatUint(s.Hash(), 16)
 }
 
@@ -258,7 +258,7 @@
 	}
 	current := make(map[string]bool, len(list))
 	for _, s := range list {
-		key := quarantineKey(s.Segment)
+		key := quarantineKey(s.Subject)
 		current[key] = true
 		old, stored := rows[key]
 		if _, self := q.node.mesh.Arbiter(s.Hash()); !self || stored && old.Trials == s.Trials && old.Confirmed == s.Confirmed {
@@ -269,7 +269,7 @@
 		}
 	}
 	for key, r := range rows {
-		s := quarantine.Segment{Service: r.Service, ID: r.Segment}
+		s := quarantine.Subject{Service: r.Service, ID: r.Segment}
 		if _, self := q.node.mesh.Arbiter(s.Hash()); self && !current[key] && !q.removeRow(ctx, key) {
 			return
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -138,7 +138,7 @@
 	Check(service string, segments []place.Segment) *quarantine.Verdict
 	// StartTrial asks for the permit to send one request with a segment in spite of its
 	// quarantine, at once.
-	StartTrial(ctx context.Context, s quarantine.Segment) bool
+	StartTrial(ctx context.Context, s quarantine.Subject) bool
 	// Broken records a response that its upstream broke off, and reports whether the
 	// request may be sent to another upstream.
 	Broken(ctx context.Context, b BrokenAnswer) (mayRerun bool)
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -28,7 +28,7 @@
 	if v == nil {
 		return nil
 	}
-	if v.TrialDue && t.Quarantine.StartTrial(ctx, v.Segment) {
+	if v.TrialDue && t.Quarantine.StartTrial(ctx, v.Subject) {
 		t.trialAt = boottime.Now()
 		return nil
 	}
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -14,7 +14,7 @@
 // Statement is what a daemon tells others about a segment. Ages are relative to the time of
 // the message.
 type Statement struct {
-	Segment
+	Subject
 	Ends          []EndAge
 	Cleared       bool
 	ClearedAge    time.Duration // of the time up to which evidence is void; may be below 0
@@ -49,7 +49,7 @@
 }
 
 func (e *suspect) statement(now time.Duration) Statement {
-	s := Statement{Segment: e.Segment, Ended: e.ended, Trials: e.trial.count, Confirmed: e.trial.confirmed, Software: e.trial.software}
+	s := Statement{Subject: e.Subject, Ended: e.ended, Trials: e.trial.count, Confirmed: e.trial.confirmed, Software: e.trial.software}
 	if e.clearedAt > 0 {
 		s.Cleared, s.ClearedAge = true, now-e.clearedAt
 	}
@@ -77,7 +77,7 @@
 		if t.suspects[s.Hash()] == nil && !s.Quarantined && len(s.Ends) == 0 {
 			continue // cleared, and never accused here
 		}
-		if e := t.suspect(s.Segment, now); e != nil {
+		if e := t.suspect(s.Subject, now); e != nil {
 			changes = append(changes, e.merge(s, now)...)
 		}
 	}
@@ -112,7 +112,7 @@
 	}
 	if e.since == 0 {
 		e.since, e.ended, e.changedAt = since, s.Ended, now
-		changes = append(changes, Change{e.Segment, Quarantined, e.ended})
+		changes = append(changes, Change{e.Subject, Quarantined, e.ended})
 	}
 	e.ended = max(e.ended, s.Ended)
 	before := e.trial
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -45,14 +45,14 @@
 	maxTransit = 500 * time.Millisecond
 )
 
-// Segment is a prompt segment of the requests for one service.
-type Segment struct {
+// Subject is a prompt segment of the requests for one service.
+type Subject struct {
 	Service string
 	ID      uint64
 }
 
 // Hash identifies the segment.
-func (s Segment) Hash() uint64 {
+func (s Subject) Hash() uint64 {
 	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(s.Service), s.ID))
 }
 
@@ -65,7 +65,7 @@
 
 // suspect is a segment with evidence against it, or one that was cleared recently.
 type suspect struct {
-	Segment
+	Subject
 	ends      []End         // in order of At; those at or before clearedAt are dropped
 	heardAt   time.Duration // when this daemon heard of the first of ends
 	clearedAt time.Duration // evidence up to this time is void; 0 for none
@@ -77,7 +77,7 @@
 
 // Change is a change of what a daemon believes about a segment.
 type Change struct {
-	Segment
+	Subject
 	Kind  ChangeKind
 	Ended int // upstreams that ended under it
 }
@@ -114,7 +114,7 @@
 	defer t.mu.Unlock()
 	var changes []Change
 	for _, s := range segments {
-		hash := Segment{service, s.ID}.Hash()
+		hash := Subject{service, s.ID}.Hash()
 		t.completed.add(hash, now)
 		if e := t.suspects[hash]; e != nil && e.accused() {
 			e.changedAt = now
@@ -130,7 +130,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range segments {
-		e := t.suspect(Segment{service, s.ID}, now)
+		e := t.suspect(Subject{service, s.ID}, now)
 		if e == nil {
 			continue
 		}
@@ -142,14 +142,14 @@
 
 // suspect returns the entry of a segment, a new one if there is none, or nil if there is no
 // room for it. The caller holds mu.
-func (t *Table) suspect(s Segment, now time.Duration) *suspect {
+func (t *Table) suspect(s Subject, now time.Duration) *suspect {
 	hash := s.Hash()
 	e := t.suspects[hash]
 	if e == nil {
 		if len(t.suspects) >= maxSuspects && !t.evict() {
 			return nil
 		}
-		e = &suspect{Segment: s, changedAt: now}
+		e = &suspect{Subject: s, changedAt: now}
 		t.suspects[hash] = e
 	}
 	if at, ok := t.completed.get(hash); ok && !e.accused() {
@@ -190,7 +190,7 @@
 	e.changedAt = now
 	changes := e.trial.recordEnd(e, end)
 	if first {
-		changes = append(changes, Change{e.Segment, Suspected, 1})
+		changes = append(changes, Change{e.Subject, Suspected, 1})
 	}
 	return changes
 }
@@ -205,7 +205,7 @@
 	}
 	e.clearedAt = max(e.clearedAt, e.since) // so that no other daemon's judgement brings it back
 	e.since, e.trial = 0, trialState{}
-	return []Change{{e.Segment, Released, e.ended}}
+	return []Change{{e.Subject, Released, e.ended}}
 }
 
 // independent returns the number of ends that happened one after the other, each under a
@@ -240,7 +240,7 @@
 	for _, e := range due {
 		if !slices.ContainsFunc(due, e.explainedBy) {
 			e.since, e.ended, e.changedAt = now, len(e.ends), now
-			changes = append(changes, Change{e.Segment, Quarantined, e.ended})
+			changes = append(changes, Change{e.Subject, Quarantined, e.ended})
 		}
 	}
 	return changes
@@ -270,7 +270,7 @@
 
 // Verdict tells why a request must not be sent.
 type Verdict struct {
-	Segment
+	Subject
 	Since    time.Duration // start of the quarantine, boot time
 	Ended    int           // upstreams that had ended by then
 	TrialDue bool          // a request with it may be sent as a trial, if it has no other quarantined segment
@@ -287,13 +287,13 @@
 	}
 	var v *Verdict
 	for _, s := range segments {
-		e := t.suspects[Segment{service, s.ID}.Hash()]
+		e := t.suspects[Subject{service, s.ID}.Hash()]
 		switch {
 		case e == nil || e.since == 0:
 		case v != nil:
 			v.TrialDue = false
 		default:
-			v = &Verdict{e.Segment, e.since, e.ended, e.trial.due(e.since, softwareOf(service), now)}
+			v = &Verdict{e.Subject, e.since, e.ended, e.trial.due(e.since, softwareOf(service), now)}
 		}
 	}
 	return v
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -124,7 +124,7 @@
 	}
 	software := uint32(1)
 	softwareOf := func(string) uint32 { return software }
-	hash := Segment{service, 9}.Hash()
+	hash := Subject{service, 9}.Hash()
 
 	f := blame()
 	f.pass(firstTrial)
@@ -182,13 +182,13 @@
 // TestMalformedStatementsAreDropped checks that what no daemon can have meant changes nothing.
 func TestMalformedStatementsAreDropped(t *testing.T) {
 	f := newFixture()
-	s := Segment{service, 9}
+	s := Subject{service, 9}
 	for i, bad := range []Statement{
-		{Segment: Segment{"", 9}, Quarantined: true},
-		{Segment: s, Quarantined: true, QuarantineAge: -time.Second},
-		{Segment: s, Cleared: true, ClearedAge: -time.Hour},
-		{Segment: s, Ends: []EndAge{{1, time.Second, 2 * time.Second}}},
-		{Segment: s, Ends: []EndAge{{1, time.Second, -time.Second}}},
+		{Subject: Subject{"", 9}, Quarantined: true},
+		{Subject: s, Quarantined: true, QuarantineAge: -time.Second},
+		{Subject: s, Cleared: true, ClearedAge: -time.Hour},
+		{Subject: s, Ends: []EndAge{{1, time.Second, 2 * time.Second}}},
+		{Subject: s, Ends: []EndAge{{1, time.Second, -time.Second}}},
 	} {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			assert.Equal(t, len(f.Merge([]Statement{bad}, f.now)), 0)
