A request that ends upstreams is quarantined by its content

Cause: the quarantine knew only prompt segments that requests share. A plain request has none, and the last segment of a prompt was left out; ends before the head of an answer counted for nothing.

The request itself is now a subject of the same table as segments: a hash of host, path, method, caller and body, with the same evidence, settling time, States, arbiter, trial, rows and log lines ('content' in place of 'segment'). An end before the head counts against it, and not against segments. Three ends are needed, of which two may be at the same time; a segment all of whose ends a request explains is not blamed with it; of two requests with the same three ends neither is blamed before the fourth.

--- a/internal/mesh/quarantine_test.go
+++ b/internal/mesh/quarantine_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/mesh/meshpb"
 	"github.com/lagoonmux/lagoonmux/internal/quarantine"
-	"github.com/lagoonmux/lagoonmux/internal/routing/place"
 )
 
 // Bounds of the platform's rule on prompt segments that crash upstreams: later than
@@ -60,7 +59,7 @@
 type crashFlight struct {
 	nd       *testNode
 	table    *quarantine.Table
-	segments []place.Segment
+	segments []quarantine.Subject
 	sentAt   time.Duration
 	bad      bool
 }
@@ -130,14 +129,14 @@
 
 // send sends a request unless the daemon refuses it.
 func (c *crashCluster) send(nd *testNode, bad bool) {
-	segments := []place.Segment{{ID: 1}, {ID: uint64(100 + c.rng.IntN(c.subjects))}}
+	segments := []quarantine.Subject{{Service: crashService, ID: 1}, {Service: crashService, ID: uint64(100 + c.rng.IntN(c.subjects))}}
 	if bad {
-		segments = append(segments, place.Segment{ID: crashSegment})
+		segments = append(segments, quarantine.Subject{Service: crashService, ID: crashSegment})
 	} else {
 		c.sound++
 	}
 	table := c.tables[nd]
-	if v := table.Check(crashService, segments, anySoftware, c.now); v != nil && !(v.TrialDue && c.startTrial(nd, v.Subject)) {
+	if v := table.Check(segments, anySoftware, c.now); v != nil && !(v.TrialDue && c.startTrial(nd, v.Subject)) {
 		if !bad {
 			c.refused++
 		}
@@ -176,9 +175,9 @@
 		return
 	}
 	if f.bad {
-		f.table.Ended(crashService, f.segments, quarantine.End{Upstream: c.upstreams, SentAt: f.sentAt, At: c.now}, c.now)
+		f.table.Ended(f.segments, quarantine.End{Upstream: c.upstreams, SentAt: f.sentAt, At: c.now}, c.now)
 	} else {
-		f.table.Completed(crashService, f.segments, c.now)
+		f.table.Completed(f.segments, c.now)
 	}
 }
 
--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -7,11 +7,11 @@
 	"github.com/lagoonmux/lagoonmux/internal/quarantine"
 )
 
-// EncodeSuspects encodes statements about prompt segments for a State.
+// EncodeSuspects encodes statements about prompt segments and requests for a State.
 func EncodeSuspects(list []quarantine.Statement) []*meshpb.Suspect {
 	out := make([]*meshpb.Suspect, len(list))
 	for i, s := range list {
-		out[i] = &meshpb.Suspect{Service: s.Service, Segment: s.ID, Cleared: s.Cleared, ClearedAgeMs: s.ClearedAge.Milliseconds(),
+		out[i] = &meshpb.Suspect{Service: s.Service, Segment: s.ID, Request: s.Request, Cleared: s.Cleared, ClearedAgeMs: s.ClearedAge.Milliseconds(),
 			Quarantined: s.Quarantined, QuarantineAgeMs: s.QuarantineAge.Milliseconds(), Ended: uint32(s.Ended), Trials: uint32(s.Trials),
 			TrialAgeMs: s.TrialAge.Milliseconds(), Confirmed: s.Confirmed, Software: s.Software}
 		for _, e := range s.Ends {
@@ -26,7 +26,7 @@
 func DecodeSuspects(list []*meshpb.Suspect) []quarantine.Statement {
 	out := make([]quarantine.Statement, len(list))
 	for i, s := range list {
-		out[i] = quarantine.Statement{Subject: quarantine.Subject{Service: s.Service, ID: s.Segment}, Cleared: s.Cleared,
+		out[i] = quarantine.Statement{Subject: quarantine.Subject{Service: s.Service, ID: s.Segment, Request: s.Request}, Cleared: s.Cleared,
 			ClearedAge: millis(s.ClearedAgeMs), Quarantined: s.Quarantined, QuarantineAge: millis(s.QuarantineAgeMs), Ended: int(s.Ended),
 			Trials: int(s.Trials), TrialAge: millis(s.TrialAgeMs), Confirmed: s.Confirmed, Software: s.Software}
 		for _, e := range s.Ends {
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -22,14 +23,13 @@
 	"github.com/lagoonmux/lagoonmux/internal/proxy"
 	"github.com/lagoonmux/lagoonmux/internal/quarantine"
 	"github.com/lagoonmux/lagoonmux/internal/roster"
-	"github.com/lagoonmux/lagoonmux/internal/routing/place"
 	"github.com/lagoonmux/lagoonmux/internal/throttle"
 	"github.com/lagoonmux/lagoonmux/internal/views"
 )
 
 const (
-	// quarantineTable is the store's table of quarantined prompt segments. All daemons may
-	// end at once.
+	// quarantineTable is the store's table of quarantined prompt segments and requests. All
+	// daemons may end at once.
 	quarantineTable = "quarantine"
 	// An upstream has ended if a connection to it is refused. endProbes are made,
 	// endProbePause apart, each within endProbeTimeout.
@@ -61,7 +61,8 @@
 // quarantineRow is a row of quarantineTable. Its key is that of quarantineKey.
 type quarantineRow struct {
 	Service   string `json:"service"`
-	Segment   uint64 `json:"segment,string"`
+	Segment   uint64 `json:"segment,string"` // or the hash of a request's content
+	Request   bool   `json:"request,omitempty"`
 	SinceMS   int64  `json:"since"` // unix time
 	Ended     int    `json:"ended"`
 	Trials    int    `json:"trials"`
@@ -72,7 +73,7 @@
 
 // newQuarantineRow returns the row for a statement made at a unix time.
 func newQuarantineRow(s quarantine.Statement, unixNow time.Duration) quarantineRow {
-	r := quarantineRow{Service: s.Service, Segment: s.ID, SinceMS: (unixNow - s.QuarantineAge).Milliseconds(), Ended: s.Ended,
+	r := quarantineRow{Service: s.Service, Segment: s.ID, Request: s.Request, SinceMS: (unixNow - s.QuarantineAge).Milliseconds(), Ended: s.Ended,
 		Trials: s.Trials, Confirmed: s.Confirmed, Software: s.Software}
 	if s.TrialAge > 0 {
 		r.TrialMS = (unixNow - s.TrialAge).Milliseconds()
@@ -83,7 +84,7 @@
 // statement is the reverse of newQuarantineRow.
 func (r *quarantineRow) statement(unixNow time.Duration) quarantine.Statement {
 	age := func(ms int64) time.Duration { return max(unixNow-time.Duration(ms)*time.Millisecond, time.Millisecond) }
-	s := quarantine.Statement{Subject: quarantine.Subject{Service: r.Service, ID: r.Segment}, Quarantined: true, QuarantineAge: age(r.SinceMS),
+	s := quarantine.Statement{Subject: quarantine.Subject{Service: r.Service, ID: r.Segment, Request: r.Request}, Quarantined: true, QuarantineAge: age(r.SinceMS),
 		Ended: r.Ended, Trials: r.Trials, Confirmed: r.Confirmed, Software: r.Software}
 	if r.TrialMS > 0 {
 		s.TrialAge = age(r.TrialMS)
@@ -96,8 +97,8 @@
 }
 
 // Check implements proxy.Quarantine.
-func (q *segmentQuarantine) Check(service string, segments []place.Segment) *quarantine.Verdict {
-	v := q.table.Check(service, segments, q.software, boottime.Now())
+func (q *segmentQuarantine) Check(subjects []quarantine.Subject) *quarantine.Verdict {
+	v := q.table.Check(subjects, q.software, boottime.Now())
 	if v != nil && !v.TrialDue {
 		q.refused.Add(1)
 	}
@@ -119,18 +120,28 @@
 }
 
 // Completed implements proxy.Quarantine.
-func (q *segmentQuarantine) Completed(service string, segments []place.Segment) {
-	if len(segments) > 0 {
-		q.log(q.table.Completed(service, segments, boottime.Now()), q.node.Name)
+func (q *segmentQuarantine) Completed(subjects []quarantine.Subject) {
+	q.log(q.table.Completed(subjects, boottime.Now()), q.node.Name)
+}
+
+// accused returns the subjects against which a broken response is evidence, if its upstream
+// has ended: all of them after a head and no event, the request alone before the head.
+func accused(b proxy.BrokenAnswer) []quarantine.Subject {
+	switch b.Stage {
+	case proxy.BeforeEvent:
+		return b.Subjects
+	case proxy.BeforeHead:
+		return slices.DeleteFunc(slices.Clone(b.Subjects), func(s quarantine.Subject) bool { return !s.Request })
 	}
+	return nil
 }
 
-// Broken implements proxy.Quarantine. Only a response with a head and without an event is
-// evidence, and only if the upstream has ended without having announced it.
+// Broken implements proxy.Quarantine. A response without an event is evidence if the upstream
+// has ended without having announced it.
 func (q *segmentQuarantine) Broken(ctx context.Context, b proxy.BrokenAnswer) (mayRerun bool) {
-	segments := b.Request.SharedPrompt()
+	subjects := accused(b)
 	at := boottime.Now()
-	if b.Stage != proxy.BeforeEvent || b.Suspended || len(segments) == 0 || !q.serving(b.Upstream) {
+	if b.Suspended || len(subjects) == 0 || !q.serving(b.Upstream) {
 		return true
 	}
 	if !q.hasEnded(ctx, b.Upstream) || !q.serving(b.Upstream) {
@@ -138,9 +149,10 @@
 	}
 	q.ended.Add(1)
 	hash := throttle.Hash(b.Upstream.Key())
-	repeated, changes := q.table.Ended(b.Service, segments, quarantine.End{Upstream: hash, SentAt: b.SentAt, At: at}, boottime.Now())
+	repeated, changes := q.table.Ended(subjects, quarantine.End{Upstream: hash, SentAt: b.SentAt, At: at}, boottime.Now())
 	q.node.log.Warn("upstream ended under a request", "upstream", b.Upstream.ID, "born", b.Upstream.Incarnation, "id", b.Request.ID,
-		"service", b.Service, "segments", proxy.FormatSegments(segments), "suspected_before", repeated)
+		"service", b.Service, "stage", b.Stage.String(), "content", strconv.FormatUint(b.Content, 16),
+		"segments", proxy.FormatSegments(b.Request.SharedPrompt()), "suspected_before", repeated)
 	q.log(changes, q.node.Name)
 	return !repeated
 }
@@ -181,7 +193,8 @@
 		return false
 	}
 	q.trials.Add(1)
-	q.node.log.Info("quarantine trial", "service", s.Service, "segment", strconv.FormatUint(s.ID, 16))
+	key, id := logField(s)
+	q.node.log.Info("quarantine trial", "service", s.Service, key, id)
 	return true
 }
 
@@ -210,10 +223,29 @@
 	}
 }
 
-// log logs changes; toldBy is the daemon whose evidence decided.
+// logField returns the name and value of the field that identifies a subject in logs. A request
+// has the same field in the other lines about it.
+func logField(s quarantine.Subject) (key, id string) {
+	if s.Request {
+		return "content", strconv.FormatUint(s.ID, 16)
+	}
+	return "segment", strconv.FormatUint(s.ID, 16)
+}
+
+// log logs changes; toldBy is the daemon whose evidence decided. The first evidence against a
+// request has its own line: each end of an upstream is one for all requests that were under way
+// there.
 func (q *segmentQuarantine) log(changes []quarantine.Change, toldBy string) {
 	for _, c := range changes {
-		q.node.log.Warn("segment "+c.Kind.String(), "service", c.Service, "segment", strconv.FormatUint(c.ID, 16), "ended", c.Ended, "told_by", toldBy)
+		what := "segment "
+		if c.Request {
+			what = "request "
+			if c.Kind == quarantine.Suspected {
+				continue
+			}
+		}
+		key, id := logField(c.Subject)
+		q.node.log.Warn(what+c.Kind.String(), "service", c.Service, key, id, "ended", c.Ended, "told_by", toldBy)
 	}
 }
 
@@ -269,7 +301,7 @@
 		}
 	}
 	for key, r := range rows {
-		s := quarantine.Subject{Service: r.Service, ID: r.Segment}
+		s := quarantine.Subject{Service: r.Service, ID: r.Segment, Request: r.Request}
 		if _, self := q.node.mesh.Arbiter(s.Hash()); self && !current[key] && !q.removeRow(ctx, key) {
 			return
 		}
@@ -311,6 +343,7 @@
 		if i == maxListedQuarantines {
 			return
 		}
-		_, _ = fmt.Fprintf(w, "lagoonmux_quarantine_age_ms{service=%q,segment=\"%x\",ended=\"%d\"} %d\n", s.Service, s.ID, s.Ended, s.QuarantineAge.Milliseconds())
+		key, id := logField(s.Subject)
+		_, _ = fmt.Fprintf(w, "lagoonmux_quarantine_age_ms{service=%q,%s=%q,ended=\"%d\"} %d\n", s.Service, key, id, s.Ended, s.QuarantineAge.Milliseconds())
 	}
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -30,7 +30,7 @@
 	gone                      // the caller closed the connection or does not read the response
 	unplaced                  // no upstream could be chosen
 	throttled                 // no byte was sent: the rate that the upstream names allows no request now
-	quarantined               // no byte was sent: the prompt has a segment in quarantine
+	quarantined               // no byte was sent: the request or a segment of its prompt is in quarantine
 )
 
 // String returns the name used in logs.
@@ -140,7 +140,7 @@
 	case done:
 		conn.Release()
 		if status := a.head.StatusCode(); status >= 200 && status < 300 {
-			a.Quarantine.Completed(a.service.Name, a.req.SharedPrompt())
+			a.Quarantine.Completed(a.subjects)
 		}
 	case refused, misplaced:
 		a.drainBody()
--- a/internal/proxy/brokenanswer.go
+++ b/internal/proxy/brokenanswer.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
+	"github.com/lagoonmux/lagoonmux/internal/quarantine"
 	"github.com/lagoonmux/lagoonmux/internal/roster"
 	"github.com/lagoonmux/lagoonmux/internal/routing/place"
 )
@@ -33,7 +34,8 @@
 // was complete.
 type BrokenAnswer struct {
 	Request  *Request
-	Content  uint64 // see Request.Content
+	Content  uint64               // see Request.Content
+	Subjects []quarantine.Subject // of the request
 	Service  string
 	Upstream *roster.Upstream
 	Stage    Stage
@@ -98,7 +100,7 @@
 	if res != lost && res != broken || ctx.Err() != nil || !connectionEnded(err) {
 		return
 	}
-	b := BrokenAnswer{Request: a.req, Content: a.record.Content, Service: a.service.Name, Upstream: a.choice.Upstream, SentAt: a.sentAt}
+	b := BrokenAnswer{Request: a.req, Content: a.record.Content, Subjects: a.subjects, Service: a.service.Name, Upstream: a.choice.Upstream, SentAt: a.sentAt}
 	b.Suspended = boottime.Now()-a.sentAt > time.Since(a.startTime)+maxClockGap
 	switch {
 	case a.responded:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,7 +10,8 @@
 //   - a status that means "not run" is sent only for requests that did not run and
 //     never will;
 //   - a request is sent to an upstream that names a request rate only with a permit;
-//   - a request with a prompt segment in quarantine is not sent, but for single trials.
+//   - a request in quarantine, or with a prompt segment in quarantine, is not sent, but for
+//     single trials.
 package proxy
 
 import (
@@ -132,18 +133,17 @@
 }
 
 // Quarantine keeps requests from upstreams that would end under them. Its methods must be
-// safe for concurrent use. segments are those that other requests may share.
+// safe for concurrent use. subjects are those of one request.
 type Quarantine interface {
 	// Check returns why a request must not be sent, nil if it may be.
-	Check(service string, segments []place.Segment) *quarantine.Verdict
-	// StartTrial asks for the permit to send one request with a segment in spite of its
-	// quarantine, at once.
+	Check(subjects []quarantine.Subject) *quarantine.Verdict
+	// StartTrial asks for the permit to send one request in spite of a quarantine, at once.
 	StartTrial(ctx context.Context, s quarantine.Subject) bool
 	// Broken records a response that its upstream broke off, and reports whether the
 	// request may be sent to another upstream.
 	Broken(ctx context.Context, b BrokenAnswer) (mayRerun bool)
 	// Completed records a whole response with a success status.
-	Completed(service string, segments []place.Segment)
+	Completed(subjects []quarantine.Subject)
 }
 
 // Config holds the dependencies of a Proxy.
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/catalog"
 	"github.com/lagoonmux/lagoonmux/internal/egress"
 	"github.com/lagoonmux/lagoonmux/internal/ingress"
+	"github.com/lagoonmux/lagoonmux/internal/quarantine"
 	"github.com/lagoonmux/lagoonmux/internal/routing/place"
 )
 
@@ -53,12 +54,13 @@
 	cost     float64           // charged to the customer's limit
 	charged  bool              // cost was taken and not refunded
 	deadline time.Time
-	priority int             // 0 is the highest
-	urgency  int             // see UpstreamParams
-	excluded map[string]bool // ids of upstreams that were tried
-	sends    int             // upstreams to which the request was sent
-	trialAt  time.Duration   // boot time of the permit to send it in spite of a quarantine; 0 for none
-	endedOne bool            // an upstream ended under it, and it must not be sent to another one
+	priority int                  // 0 is the highest
+	urgency  int                  // see UpstreamParams
+	excluded map[string]bool      // ids of upstreams that were tried
+	sends    int                  // upstreams to which the request was sent
+	trialAt  time.Duration        // boot time of the permit to send it in spite of a quarantine; 0 for none
+	subjects []quarantine.Subject // of the request, for quarantines
+	endedOne bool                 // an upstream ended under it, and it must not be sent to another one
 	stream   eventStream
 	record   Record
 }
@@ -99,6 +101,7 @@
 		return r
 	}
 	t.record.Content = req.Content(t.record.Customer)
+	t.subjects = quarantine.Subjects(t.service.Name, req.SharedPrompt(), t.record.Content)
 	timeout := t.route.Timeout
 	if req.Timeout > 0 {
 		timeout = min(timeout, req.Timeout)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,13 +1,15 @@
-// Package quarantine finds prompt segments that end each upstream which begins to answer a
-// request with them, and keeps such requests from further upstreams.
+// Package quarantine finds prompt segments and requests that end each upstream which begins to
+// answer them, and keeps them from further upstreams. A request that comes again is known by
+// its content.
 //
 // Evidence against a segment is an upstream that ended while it had sent the head of the
-// response to a request with the segment and no event yet. A whole response to a request
-// with the segment clears it of all earlier evidence. Daemons exchange their evidence, so
-// that each comes to the same conclusion: a segment is quarantined once independentEnds
-// upstreams have ended one after the other, each under a request that was sent after the
-// end before, with no whole response in between. Upstreams that end together, as in a
-// reclaim, are one piece of evidence.
+// response to a request with the segment and no event yet; evidence against a request is also
+// an end before the head. A whole response to a request with the segment, or with the same
+// content, clears it of all earlier evidence. Daemons exchange their evidence, so that each
+// comes to the same conclusion: a segment is quarantined once independentEnds upstreams have
+// ended one after the other, each under a request that was sent after the end before, with no
+// whole response in between. Upstreams that end together, as in a reclaim, are one piece of
+// evidence. For a request, two of three ends may have been at the same time.
 //
 // The package does no I/O and takes the boot time, which also advances while the VM is
 // suspended, as an argument.
@@ -27,6 +29,11 @@
 const (
 	// independentEnds is the number of upstreams that must have ended one after the other.
 	independentEnds = 3
+	// requestEnds is the number of upstreams that must have ended under a request, of which
+	// independentRequestEnds one after the other: the same request may have been under way
+	// twice.
+	requestEnds            = 3
+	independentRequestEnds = 2
 	// clearMargin is how much later than a whole response an end is still void: the
 	// response had begun before, and its time and that of the end come from two daemons.
 	clearMargin = 2 * time.Second
@@ -37,7 +44,7 @@
 	// clearedTTL is how long it is remembered that a segment was cleared, so that late
 	// messages do not accuse it again.
 	clearedTTL = 30 * time.Second
-	// maxSuspects bounds the segments against which there is evidence, maxEnds the ends
+	// maxSuspects bounds the subjects against which there is evidence, maxEnds the ends
 	// that are kept for each.
 	maxSuspects = 512
 	maxEnds     = 16
@@ -45,15 +52,31 @@
 	maxTransit = 500 * time.Millisecond
 )
 
-// Subject is a prompt segment of the requests for one service.
+// Subject is what may end upstreams: a prompt segment of the requests for one service, or a
+// request for it.
 type Subject struct {
 	Service string
-	ID      uint64
+	ID      uint64 // of the segment, or a hash of the request's content
+	Request bool   // ID is that of a request
 }
 
-// Hash identifies the segment.
+// Hash identifies the subject.
 func (s Subject) Hash() uint64 {
-	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(s.Service), s.ID))
+	b := binary.BigEndian.AppendUint64([]byte(s.Service), s.ID)
+	if s.Request {
+		b = append(b, 1)
+	}
+	return xxhash.Sum64(b)
+}
+
+// Subjects returns the subjects of a request for a service: the segments of its prompt that
+// other requests may share, and the request itself.
+func Subjects(service string, shared []place.Segment, content uint64) []Subject {
+	list := make([]Subject, 0, len(shared)+1)
+	for _, s := range shared {
+		list = append(list, Subject{Service: service, ID: s.ID})
+	}
+	return append(list, Subject{Service: service, ID: content, Request: true})
 }
 
 // End is the end of an upstream under a request. Times are boot times.
@@ -63,7 +86,7 @@
 	At       time.Duration
 }
 
-// suspect is a segment with evidence against it, or one that was cleared recently.
+// suspect is a subject with evidence against it, or one that was cleared recently.
 type suspect struct {
 	Subject
 	ends      []End         // in order of At; those at or before clearedAt are dropped
@@ -101,21 +124,30 @@
 // Table holds the evidence that a daemon knows. Its methods are safe for concurrent use.
 type Table struct {
 	mu        sync.Mutex
-	suspects  map[uint64]*suspect // by hash of the segment
+	suspects  map[uint64]*suspect // by hash of the subject
 	completed recentTimes         // segments of whole responses
+	answered  recentTimes         // requests with whole responses
 }
 
 // NewTable returns a table without evidence.
 func NewTable() *Table { return &Table{suspects: make(map[uint64]*suspect)} }
 
-// Completed records a whole response to a request with the given shared segments.
-func (t *Table) Completed(service string, segments []place.Segment, now time.Duration) []Change {
+// recent returns the times of whole responses to subjects of one kind. The caller holds mu.
+func (t *Table) recent(s Subject) *recentTimes {
+	if s.Request {
+		return &t.answered
+	}
+	return &t.completed
+}
+
+// Completed records a whole response to a request with the given subjects.
+func (t *Table) Completed(subjects []Subject, now time.Duration) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes []Change
-	for _, s := range segments {
-		hash := Subject{service, s.ID}.Hash()
-		t.completed.add(hash, now)
+	for _, s := range subjects {
+		hash := s.Hash()
+		t.recent(s).add(hash, now)
 		if e := t.suspects[hash]; e != nil && e.accused() {
 			e.changedAt = now
 			changes = append(changes, e.clear(now+clearMargin)...)
@@ -124,13 +156,13 @@
 	return changes
 }
 
-// Ended records that an upstream ended under a request with the given shared segments. It
-// reports whether there was evidence against one of them before.
-func (t *Table) Ended(service string, segments []place.Segment, end End, now time.Duration) (repeated bool, changes []Change) {
+// Ended records that an upstream ended under a request with the given subjects. It reports
+// whether there was evidence against one of them before.
+func (t *Table) Ended(subjects []Subject, end End, now time.Duration) (repeated bool, changes []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range segments {
-		e := t.suspect(Subject{service, s.ID}, now)
+	for _, s := range subjects {
+		e := t.suspect(s, now)
 		if e == nil {
 			continue
 		}
@@ -140,7 +172,7 @@
 	return repeated, changes
 }
 
-// suspect returns the entry of a segment, a new one if there is none, or nil if there is no
+// suspect returns the entry of a subject, a new one if there is none, or nil if there is no
 // room for it. The caller holds mu.
 func (t *Table) suspect(s Subject, now time.Duration) *suspect {
 	hash := s.Hash()
@@ -152,7 +184,7 @@
 		e = &suspect{Subject: s, changedAt: now}
 		t.suspects[hash] = e
 	}
-	if at, ok := t.completed.get(hash); ok && !e.accused() {
+	if at, ok := t.recent(s).get(hash); ok && !e.accused() {
 		e.clearedAt = max(e.clearedAt, at+clearMargin)
 	}
 	return e
@@ -220,25 +252,36 @@
 	return n
 }
 
+// sufficient reports whether the evidence suffices for a quarantine.
+func (e *suspect) sufficient() bool {
+	if e.Request {
+		return len(e.ends) >= requestEnds && e.independent() >= independentRequestEnds
+	}
+	return e.independent() >= independentEnds
+}
+
 // Tick begins quarantines and drops what is outdated. settle is the time in which all
 // daemons hear of evidence and object to it.
 func (t *Table) Tick(settle, now time.Duration) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.completed.rotate(now)
+	t.answered.rotate(now)
 	var changes []Change
-	var due []*suspect
+	var due, blamed []*suspect // blamed: due or in quarantine
 	for hash, e := range t.suspects {
 		e.expire(now)
 		switch {
 		case !e.accused() && now-max(e.clearedAt, e.changedAt) > clearedTTL:
 			delete(t.suspects, hash)
-		case e.since == 0 && e.independent() >= independentEnds && now-e.heardAt >= settle:
-			due = append(due, e)
+		case e.since > 0:
+			blamed = append(blamed, e)
+		case e.sufficient() && now-e.heardAt >= settle:
+			due, blamed = append(due, e), append(blamed, e)
 		}
 	}
 	for _, e := range due {
-		if !slices.ContainsFunc(due, e.explainedBy) {
+		if !slices.ContainsFunc(blamed, e.explainedBy) {
 			e.since, e.ended, e.changedAt = now, len(e.ends), now
 			changes = append(changes, Change{e.Subject, Quarantined, e.ended})
 		}
@@ -246,12 +289,20 @@
 	return changes
 }
 
-// explainedBy reports whether all upstreams that ended under e are among the more numerous
-// ones that ended under other. Requests with a segment that ends upstreams have others too.
+// explainedBy reports whether other explains all upstreams that ended under e: they ended under
+// other too, and more did, or other is a request and e a segment of its prompt. Requests with a
+// segment that ends upstreams have other segments too, and others were under way at the same
+// upstreams. Of two requests with the same few ends neither is blamed before the next end.
 func (e *suspect) explainedBy(other *suspect) bool {
-	if e.Service != other.Service || len(other.ends) <= len(e.ends) {
+	if e == other || e.Service != other.Service || len(other.ends) < len(e.ends) {
 		return false
 	}
+	if len(other.ends) == len(e.ends) {
+		tied := e.Request && other.Request && len(e.ends) == requestEnds
+		if !tied && (e.Request || !other.Request) {
+			return false
+		}
+	}
 	for _, end := range e.ends {
 		if !slices.ContainsFunc(other.ends, func(o End) bool { return o.Upstream == end.Upstream }) {
 			return false
@@ -273,33 +324,33 @@
 	Subject
 	Since    time.Duration // start of the quarantine, boot time
 	Ended    int           // upstreams that had ended by then
-	TrialDue bool          // a request with it may be sent as a trial, if it has no other quarantined segment
+	TrialDue bool          // a request with it may be sent as a trial, if it has no other quarantined subject
 }
 
-// Check returns the verdict on a request with the given shared segments, nil if it may be
-// sent. softwareOf identifies what a service's upstreams run, 0 if that is not known or differs
+// Check returns the verdict on a request with the given subjects, nil if it may be sent.
+// softwareOf identifies what a service's upstreams run, 0 if that is not known or differs
 // between them.
-func (t *Table) Check(service string, segments []place.Segment, softwareOf func(service string) uint32, now time.Duration) *Verdict {
+func (t *Table) Check(subjects []Subject, softwareOf func(service string) uint32, now time.Duration) *Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.suspects) == 0 {
 		return nil
 	}
 	var v *Verdict
-	for _, s := range segments {
-		e := t.suspects[Subject{service, s.ID}.Hash()]
+	for _, s := range subjects {
+		e := t.suspects[s.Hash()]
 		switch {
 		case e == nil || e.since == 0:
 		case v != nil:
 			v.TrialDue = false
 		default:
-			v = &Verdict{e.Subject, e.since, e.ended, e.trial.due(e.since, softwareOf(service), now)}
+			v = &Verdict{e.Subject, e.since, e.ended, e.trial.due(e.since, softwareOf(s.Service), now)}
 		}
 	}
 	return v
 }
 
-// Quarantined returns statements about the segments in quarantine, without the evidence,
+// Quarantined returns statements about the subjects in quarantine, without the evidence,
 // and how many others there is evidence against.
 func (t *Table) Quarantined(now time.Duration) (list []Statement, suspected int) {
 	t.mu.Lock()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/lagoonmux/lagoonmux/internal/routing/place"
 )
 
 const (
@@ -27,10 +25,10 @@
 
 func newFixture() *fixture { return &fixture{Table: NewTable(), now: time.Hour} }
 
-func segments(ids ...uint64) []place.Segment {
-	list := make([]place.Segment, len(ids))
+func segments(ids ...uint64) []Subject {
+	list := make([]Subject, len(ids))
 	for i, id := range ids {
-		list[i].ID = id
+		list[i] = Subject{Service: service, ID: id}
 	}
 	return list
 }
@@ -38,7 +36,7 @@
 // end ends an upstream under a request that was sent 200 ms before.
 func (f *fixture) end(ids ...uint64) (repeated bool) {
 	f.next++
-	repeated, _ = f.Ended(service, segments(ids...), End{f.next, f.now - 200*time.Millisecond, f.now}, f.now)
+	repeated, _ = f.Ended(segments(ids...), End{f.next, f.now - 200*time.Millisecond, f.now}, f.now)
 	return repeated
 }
 
@@ -55,7 +53,7 @@
 }
 
 func (f *fixture) refuses(ids ...uint64) bool {
-	return f.Check(service, segments(ids...), unknown, f.now) != nil
+	return f.Check(segments(ids...), unknown, f.now) != nil
 }
 
 // TestSegmentIsQuarantinedAfterSuccessiveEnds checks that only the segment which all ends
@@ -65,12 +63,12 @@
 	assert.Assert(t, !f.end(1, 9, 20))
 	f.pass(time.Second)
 	assert.Assert(t, f.end(1, 9, 20), "the second request that ends an upstream is not to be repeated")
-	f.Completed(service, segments(1), f.now)
+	f.Completed(segments(1), f.now)
 	assert.Assert(t, len(f.pass(time.Second)) == 0)
 	f.end(1, 9, 21)
 	assert.DeepEqual(t, f.pass(time.Second), []uint64{9})
 	assert.Assert(t, f.refuses(1, 9) && !f.refuses(1, 20))
-	assert.Assert(t, f.Check("other", segments(9), unknown, f.now) == nil, "other services")
+	assert.Assert(t, f.Check([]Subject{{Service: "other", ID: 9}}, unknown, f.now) == nil, "other services")
 }
 
 // TestSimultaneousEndsAreOnePieceOfEvidence ends many upstreams at once, as a reclaim does,
@@ -93,11 +91,11 @@
 			a, b := newFixture(), newFixture()
 			for range 20 {
 				if completedFirst {
-					b.Completed(service, segments(7), b.now)
+					b.Completed(segments(7), b.now)
 				}
 				a.end(7)
 				if !completedFirst {
-					b.Completed(service, segments(7), b.now)
+					b.Completed(segments(7), b.now)
 				}
 				for range 8 {
 					b.Merge(a.Statements(false, a.now), b.now)
@@ -124,14 +122,14 @@
 	}
 	software := uint32(1)
 	softwareOf := func(string) uint32 { return software }
-	hash := Subject{service, 9}.Hash()
+	hash := Subject{Service: service, ID: 9}.Hash()
 
 	f := blame()
 	f.pass(firstTrial)
-	assert.Assert(t, f.Check(service, segments(9), softwareOf, f.now).TrialDue)
+	assert.Assert(t, f.Check(segments(9), softwareOf, f.now).TrialDue)
 	assert.Assert(t, f.StartTrial(hash, softwareOf, f.now))
 	assert.Assert(t, !f.StartTrial(hash, softwareOf, f.now), "one at a time")
-	changes := f.Completed(service, segments(9), f.now)
+	changes := f.Completed(segments(9), f.now)
 	assert.Assert(t, len(changes) == 1 && changes[0].Kind == Released)
 	assert.Assert(t, !f.refuses(9))
 
@@ -168,7 +166,7 @@
 	f := newFixture()
 	for i := range uint64(20000) {
 		f.end(10*i, 10*i+1, 10*i+2)
-		f.Completed(service, segments(10*i+3, 10*i+4), f.now)
+		f.Completed(segments(10*i+3, 10*i+4), f.now)
 	}
 	assert.Assert(t, len(f.suspects) <= maxSuspects)
 	assert.Assert(t, len(f.completed.newer)+len(f.completed.older) <= 2*maxRecent)
@@ -182,9 +180,9 @@
 // TestMalformedStatementsAreDropped checks that what no daemon can have meant changes nothing.
 func TestMalformedStatementsAreDropped(t *testing.T) {
 	f := newFixture()
-	s := Subject{service, 9}
+	s := Subject{Service: service, ID: 9}
 	for i, bad := range []Statement{
-		{Subject: Subject{"", 9}, Quarantined: true},
+		{Subject: Subject{ID: 9}, Quarantined: true},
 		{Subject: s, Quarantined: true, QuarantineAge: -time.Second},
 		{Subject: s, Cleared: true, ClearedAge: -time.Hour},
 		{Subject: s, Ends: []EndAge{{1, time.Second, 2 * time.Second}}},
@@ -196,3 +194,104 @@
 		})
 	}
 }
+
+// request returns the subjects of a request with a prompt of two shared segments.
+func request(content uint64, ids ...uint64) []Subject {
+	return append(segments(ids...), Subject{Service: service, ID: content, Request: true})
+}
+
+// endAll ends one upstream under several requests that were sent 200 ms before.
+func (f *fixture) endAll(requests ...[]Subject) {
+	f.next++
+	for _, r := range requests {
+		f.Ended(r, End{f.next, f.now - 200*time.Millisecond, f.now}, f.now)
+	}
+}
+
+// TestRequestIsQuarantinedWithoutItsSegments lets a request end three upstreams, two of them at
+// the same time. It alone must be quarantined, though nothing clears the segments of its prompt.
+func TestRequestIsQuarantinedWithoutItsSegments(t *testing.T) {
+	f := newFixture()
+	deadly := request(77, 1, 9)
+	f.endAll(deadly, request(500))
+	f.endAll(deadly, request(501))
+	f.pass(400 * time.Millisecond)
+	f.endAll(deadly, request(502))
+	assert.DeepEqual(t, f.pass(time.Second), []uint64{77})
+	assert.Assert(t, f.Check(deadly, unknown, f.now) != nil)
+	assert.Assert(t, f.Check(request(78, 1, 9), unknown, f.now) == nil, "another request with the same prompt")
+	assert.Assert(t, f.Check([]Subject{{Service: service, ID: 77}}, unknown, f.now) == nil, "a segment with the same number")
+	assert.Assert(t, f.Check([]Subject{{Service: "other", ID: 77, Request: true}}, unknown, f.now) == nil, "another service")
+	f.pass(10 * time.Second)
+	assert.Assert(t, !f.refuses(1, 9), "segments are not blamed later either")
+}
+
+// TestRequestsUnderWayTogetherAreNotBlamed covers sound requests at upstreams that end: several
+// at once as in a reclaim, or under a deadly request that was there each time.
+func TestRequestsUnderWayTogetherAreNotBlamed(t *testing.T) {
+	f := newFixture()
+	for range 5 {
+		f.endAll(request(10))
+	}
+	assert.Assert(t, len(f.pass(5*time.Second)) == 0, "ends at the same time")
+
+	f = newFixture()
+	for range 3 {
+		f.endAll(request(11), request(77))
+		f.pass(500 * time.Millisecond)
+	}
+	assert.Assert(t, len(f.pass(5*time.Second)) == 0, "neither is told from the other yet")
+	f.endAll(request(77))
+	assert.DeepEqual(t, f.pass(time.Second), []uint64{77})
+
+	f = newFixture()
+	for range 4 {
+		f.endAll(request(12))
+		f.pass(400 * time.Millisecond)
+		f.Completed(request(12), f.now)
+		f.pass(100 * time.Millisecond)
+	}
+	assert.Assert(t, len(f.pass(5*time.Second)) == 0, "answered whole in between")
+}
+
+// TestSeveralDeadlyRequests quarantines two requests that end upstreams in turn, and a third
+// one while these are in quarantine.
+func TestSeveralDeadlyRequests(t *testing.T) {
+	f := newFixture()
+	for range 3 {
+		f.endAll(request(71, 1))
+		f.pass(300 * time.Millisecond)
+		f.endAll(request(72, 1))
+		f.pass(300 * time.Millisecond)
+	}
+	f.Completed(segments(1), f.now)
+	f.pass(2 * time.Second)
+	for range 3 {
+		f.endAll(request(73, 2))
+		f.pass(time.Second)
+	}
+	f.pass(2 * time.Second)
+	for _, id := range []uint64{71, 72, 73} {
+		assert.Assert(t, f.Check(request(id), unknown, f.now) != nil, "%d", id)
+	}
+	assert.Assert(t, f.Check(request(74, 1, 2), unknown, f.now) == nil)
+}
+
+// BenchmarkRequest measures what a sound request costs that resembles no other one, with
+// evidence against many requests.
+func BenchmarkRequest(b *testing.B) {
+	f := newFixture()
+	for i := range uint64(maxSuspects) {
+		f.endAll(request(i, i))
+	}
+	b.ReportAllocs()
+	for i := uint64(1000); b.Loop(); i++ {
+		s := request(i, i, i+1)
+		f.Check(s, unknown, f.now)
+		f.Completed(s, f.now)
+		f.now += 50 * time.Microsecond // 20,000 a second
+		if i%4000 == 0 {
+			f.Tick(settle, f.now)
+		}
+	}
+}
