--- a/internal/mesh/quarantine_test.go
+++ b/internal/mesh/quarantine_test.go
@@ -19,9 +19,12 @@
 const (
 	crashCount   = 5
 	crashSends   = 3
+	deadlyCount  = 3 // the same for requests that end upstreams
 	crashService = "engines"
-	crashSegment = 666
-	runTime      = 300 * time.Millisecond // from sending a request to its answer or the end of its upstream
+	// deadlyContent is that of the request that ends upstreams.
+	deadlyContent = 1 << 40
+	crashSegment  = 666
+	runTime       = 300 * time.Millisecond // from sending a request to its answer or the end of its upstream
 )
 
 // anySoftware tells that it is not known what the upstreams run.
@@ -53,6 +56,8 @@
 	sends              []time.Duration // of requests with it
 	stored             []quarantine.Statement
 	storedAt           time.Duration
+	deadly             bool   // it is one request that ends upstreams, not a segment
+	nextContent        uint64 // of a sound request
 }
 
 // crashFlight is a request at an upstream.
@@ -130,10 +135,15 @@
 // send sends a request unless the daemon refuses it.
 func (c *crashCluster) send(nd *testNode, bad bool) {
 	segments := []quarantine.Subject{{Service: crashService, ID: 1}, {Service: crashService, ID: uint64(100 + c.rng.IntN(c.subjects))}}
-	if bad {
+	switch {
+	case bad && c.deadly:
+		segments = append(segments, quarantine.Subject{Service: crashService, ID: deadlyContent, Request: true})
+	case bad:
 		segments = append(segments, quarantine.Subject{Service: crashService, ID: crashSegment})
-	} else {
+	default:
 		c.sound++
+		c.nextContent++
+		segments = append(segments, quarantine.Subject{Service: crashService, ID: c.nextContent, Request: true})
 	}
 	table := c.tables[nd]
 	if v := table.Check(segments, anySoftware, c.now); v != nil && !(v.TrialDue && c.startTrial(nd, v.Subject)) {
@@ -174,6 +184,9 @@
 	if c.tables[f.nd] != f.table || !f.nd.up || f.nd.suspended {
 		return
 	}
+	if f.bad && c.deadly {
+		c.endUnderWay(quarantine.End{Upstream: c.upstreams, SentAt: f.sentAt, At: c.now})
+	}
 	if f.bad {
 		f.table.Ended(f.segments, quarantine.End{Upstream: c.upstreams, SentAt: f.sentAt, At: c.now}, c.now)
 	} else {
@@ -181,13 +194,32 @@
 	}
 }
 
+// endUnderWay makes some sound requests lose their upstream with a deadly one. They are sent
+// again, as repeatable ones are.
+func (c *crashCluster) endUnderWay(end quarantine.End) {
+	for i := range c.flights {
+		f := &c.flights[i]
+		if f.bad || c.rng.IntN(8) > 0 {
+			continue
+		}
+		own := f.segments[len(f.segments)-1:]
+		if c.tables[f.nd] == f.table && f.nd.up && !f.nd.suspended {
+			f.table.Ended(own, quarantine.End{Upstream: end.Upstream, SentAt: f.sentAt, At: c.now}, c.now)
+		}
+	}
+}
+
 // lateSends returns how many requests with the bad segment were sent after the time bound.
 func (c *crashCluster) lateSends() (n int) {
-	if len(c.ends) < crashCount {
+	count := crashCount
+	if c.deadly {
+		count = deadlyCount
+	}
+	if len(c.ends) < count {
 		return 0
 	}
 	for _, at := range c.sends {
-		if at > c.ends[crashCount-1]+crashContact(len(c.nodes)) {
+		if at > c.ends[count-1]+crashContact(len(c.nodes)) {
 			n++
 		}
 	}
@@ -221,10 +253,35 @@
 	}
 }
 
+// TestFleetQuarantinesRequest is the same for a request that comes again, with sound ones under
+// way at the upstreams that it ends.
+func TestFleetQuarantinesRequest(t *testing.T) {
+	for _, tt := range []struct {
+		n, zones       int
+		bad, soundRate float64
+	}{{1, 1, 1, 20}, {6, 3, 0.4, 90}, {6, 3, 2, 90}, {13, 3, 2, 90}, {69, 3, 3, 300}, {295, 5, 1, 500}, {295, 5, 4, 500}} {
+		t.Run(fmt.Sprintf("%d daemons, %v per second", tt.n, tt.bad), func(t *testing.T) {
+			c := newCrashCluster(t, tt.n, tt.zones, 0, tt.soundRate, 3)
+			c.deadly = true
+			c.run(8 * time.Second)
+			c.badRate = tt.bad
+			c.run(25 * time.Second)
+			assert.Assert(t, len(c.ends) >= 3)
+			c.assertHeld()
+			assert.Equal(t, c.refused, 0)
+		})
+	}
+}
+
 // TestFleetQuarantinesSegmentUnderFaults injects random series of kills, restarts,
 // suspensions, cuts and losses of messages between the daemons. Requests of daemons that a
 // fault has hit count too. QUARANTINE_SEEDS in the environment is the number of series.
-func TestFleetQuarantinesSegmentUnderFaults(t *testing.T) {
+func TestFleetQuarantinesSegmentUnderFaults(t *testing.T) { underFaults(t, false) }
+
+// TestFleetQuarantinesRequestUnderFaults is the same for a request that ends upstreams.
+func TestFleetQuarantinesRequestUnderFaults(t *testing.T) { underFaults(t, true) }
+
+func underFaults(t *testing.T, deadly bool) {
 	seeds := 7
 	if n, err := strconv.Atoi(os.Getenv("QUARANTINE_SEEDS")); err == nil {
 		seeds = n
@@ -233,8 +290,12 @@
 		n := []int{6, 12, 14, 40, 100}[seed%5]
 		t.Run(fmt.Sprintf("seed %d, %d daemons", seed, n), func(t *testing.T) {
 			c := newCrashCluster(t, n, 1+int(seed)%5, 0, 60, seed)
+			c.deadly = deadly
 			c.run(12 * time.Second)
 			c.badRate = 4
+			if deadly {
+				c.badRate = 2
+			}
 			for range 12 {
 				c.injectFault()
 				cut, loss := c.dropped, c.rng.Float64()*0.2
