An odd row of the store does not keep the others from being used

Open: the row of the fleet duty, if another writer makes it unreadable, keeps the duty from being taken (duty.readRow).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -64,7 +64,7 @@
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
-	n := int(h.Sum32() % uint32(total))
+	n := int(uint64(h.Sum32()) % uint64(total))
 	for _, t := range r.Split {
 		if n -= t.Weight; n < 0 {
 			return t.Service
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,8 +139,9 @@
 	metrics      *metrics
 	grace        atomic.Int64 // time.Duration of the grace period; see Settings.Grace
 	stopping     atomic.Bool
-	finalized    atomic.Int64   // newest usage window that is final, as far as other daemons have told
-	rowWritten   atomic.Bool    // this daemon's own row is in the store
+	finalized    atomic.Int64 // newest usage window that is final, as far as other daemons have told
+	rowWritten   atomic.Bool  // this daemon's own row is in the store
+	oddDaemons   oddRows
 	configRows   chan views.Row // the newest configuration row that is not in force yet; holds one
 }
 
@@ -159,6 +160,7 @@
 		usage:       usage.New(s.UsageWindow),
 		metrics:     newMetrics(),
 		configRows:  make(chan views.Row, 1),
+		oddDaemons:  make(oddRows),
 	}
 	n.limiter = &limiter{n}
 	n.throttle = newUpstreamThrottle(n)
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -54,6 +54,8 @@
 
 	ended, refused, trials atomic.Int64
 
+	odd oddRows // used by onRows only
+
 	mu   sync.Mutex
 	rows map[string]quarantineRow // in the store
 }
@@ -93,7 +95,7 @@
 }
 
 func newSegmentQuarantine(n *Node) *segmentQuarantine {
-	return &segmentQuarantine{node: n, table: quarantine.NewTable()}
+	return &segmentQuarantine{node: n, table: quarantine.NewTable(), odd: make(oddRows)}
 }
 
 // Check implements proxy.Quarantine.
@@ -259,14 +261,39 @@
 	return strconv.FormatUint(s.Hash(), 16)
 }
 
+// maxUnixMS bounds the times in rows, in the year 5138.
+const maxUnixMS = 1e14
+
+// decodeQuarantineRow decodes a row. One that another writer left must not keep requests from
+// being served: its key is the hash of its subject.
+func decodeQuarantineRow(key string, value []byte) (quarantineRow, error) {
+	var r quarantineRow
+	if err := json.Unmarshal(value, &r); err != nil {
+		return r, errors.Wrap(err, "decode row")
+	}
+	s := quarantine.Subject{Service: r.Service, ID: r.Segment, Request: r.Request}
+	if r.Service == "" || key != quarantineKey(s) {
+		return r, errors.New("key is not that of the subject")
+	}
+	for _, ms := range []int64{r.SinceMS, r.TrialMS} {
+		if ms < 0 || ms > maxUnixMS {
+			return r, errors.Errorf("time %d is out of range", ms)
+		}
+	}
+	return r, nil
+}
+
 // onRows takes over the quarantines in the store.
 func (q *segmentQuarantine) onRows(rows map[string]views.Row) {
 	decoded := make(map[string]quarantineRow, len(rows))
 	var statements []quarantine.Statement
+	q.odd.keep(rows)
 	for key, row := range rows {
-		var r quarantineRow
-		if err := json.Unmarshal(row.Value, &r); err != nil || r.Service == "" {
-			q.node.log.Warn("cannot decode a quarantine's row of the store", "row", key, "error", err)
+		r, err := decodeQuarantineRow(key, row.Value)
+		if err != nil {
+			if q.odd.isNew(row) {
+				q.node.log.Warn("cannot decode a quarantine's row of the store", "row", key, "error", err)
+			}
 			continue
 		}
 		decoded[key] = r
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
 	"github.com/lagoonmux/lagoonmux/internal/mesh"
 	"github.com/lagoonmux/lagoonmux/internal/mesh/meshpb"
@@ -31,14 +35,56 @@
 	Size        uint32 `json:"size"`
 }
 
+// maxClockLead is how far the clock of a daemon that writes its row may be ahead.
+const maxClockLead = 24 * time.Hour
+
+// decodeDaemonRow decodes a daemon's row. An incarnation in the far future would make all of
+// that daemon's messages look outdated.
+func decodeDaemonRow(value []byte, now time.Time) (daemonRow, error) {
+	var d daemonRow
+	if err := json.Unmarshal(value, &d); err != nil {
+		return d, errors.Wrap(err, "decode row")
+	}
+	if _, err := netip.ParseAddrPort(d.Address); err != nil {
+		return d, errors.Wrap(err, "address")
+	}
+	if d.Incarnation <= 0 || d.Incarnation > now.Add(maxClockLead).UnixNano() {
+		return d, errors.Errorf("born %d is out of range", d.Incarnation)
+	}
+	return d, nil
+}
+
+// oddRows holds the versions of rows that could not be decoded, so that each is logged once.
+type oddRows map[string]int64
+
+// isNew records a row that could not be decoded and reports whether it was not recorded before.
+func (o oddRows) isNew(r views.Row) bool {
+	if o[r.Key] == r.Version {
+		return false
+	}
+	o[r.Key] = r.Version
+	return true
+}
+
+// keep forgets rows that are gone.
+func (o oddRows) keep(rows map[string]views.Row) {
+	maps.DeleteFunc(o, func(key string, _ int64) bool {
+		_, ok := rows[key]
+		return !ok
+	})
+}
+
 // onDaemonRows passes the daemons registered in the store on to the mesh.
 func (n *Node) onDaemonRows(rows map[string]views.Row) {
 	var list []*meshpb.Daemon
 	listed := false
+	n.oddDaemons.keep(rows)
 	for name, row := range rows {
-		var d daemonRow
-		if err := json.Unmarshal(row.Value, &d); err != nil {
-			n.log.Warn("cannot decode a daemon's row of the store", "daemon", name, "error", err)
+		d, err := decodeDaemonRow(row.Value, time.Now())
+		if err != nil {
+			if n.oddDaemons.isNew(row) {
+				n.log.Warn("cannot decode a daemon's row of the store", "daemon", name, "error", err)
+			}
 			continue
 		}
 		listed = listed || name == n.Name && d.Incarnation == n.incarnation
--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -32,8 +32,9 @@
 // Page is a response of the store: all rows of a table, or those that changed.
 type Page struct {
 	Rows    []Row
-	Version int64 // newest version of the store, not only of this table
-	Era     int64 // rises each time the store is restored from a copy; 0 if the store names none
+	Version int64    // newest version of the store, not only of this table
+	Era     int64    // rises each time the store is restored from a copy; 0 if the store names none
+	Odd     []string // descriptions of rows that could not be read
 }
 
 // Source reads tables of the store. Its methods are safe for concurrent use; their errors
@@ -60,6 +61,8 @@
 	maxRetryDelay = 400 * time.Millisecond
 	// delegatedPoll is the interval at which Delegated is called while it returns true.
 	delegatedPoll = 100 * time.Millisecond
+	// maxOdd bounds the descriptions of unreadable rows that are kept so as to log each once.
+	maxOdd = 64
 	// maxRemovals bounds the removals that are kept for Since. A daemon that asks for
 	// changes before the oldest of them gets a snapshot.
 	maxRemovals = 1024
@@ -117,6 +120,7 @@
 	upSince       time.Duration      // boot time of the first response since the last error; 0 while the store does not respond
 	era           int64              // of the store at its last response
 	eraRose       bool               // the store was restored while this view read it
+	odd           map[string]bool    // descriptions of rows that could not be read, as logged
 	delegatedAt   time.Duration      // boot time at which Delegated last returned true
 }
 
@@ -214,9 +218,29 @@
 	}
 }
 
+// logOdd logs rows that could not be read, each once.
+func (v *View) logOdd(odd []string) {
+	for _, description := range odd {
+		v.mu.Lock()
+		if len(v.odd) >= maxOdd {
+			v.odd = nil
+		}
+		if v.odd == nil {
+			v.odd = make(map[string]bool)
+		}
+		known := v.odd[description]
+		v.odd[description] = true
+		v.mu.Unlock()
+		if !known {
+			v.Log.Warn("row of the store cannot be read, the others are used", "table", v.Table, "row", description)
+		}
+	}
+}
+
 // apply merges a response of the store. A snapshot has all rows, so that rows missing in it
 // are removed.
 func (v *View) apply(page Page, snapshot bool) {
+	v.logOdd(page.Odd)
 	now := boottime.Now()
 	v.mu.Lock()
 	var holdUntil time.Duration
