A planned stop answers the requests that it ends

Report of other operators: in a planned stop, in calm, requests that came late in the grace were taken and passed on, and cut at its end with no answer.

Streams that have begun are cut, as before: nothing complete can be said.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -21,7 +21,8 @@
 	for _, grace := range []time.Duration{2 * time.Second, 6 * time.Second, 8 * time.Second, 30 * time.Second} {
 		d := newDrain(began, grace)
 		assert.Assert(t, d.End.Sub(began) > grace*5/6, "%v", grace)
-		assert.Assert(t, d.End.Sub(began) < grace*9/10, "%v: no time left to remove the row", grace)
+		assert.Assert(t, d.End.Before(d.Cut), "%v: no time left for the last responses", grace)
+		assert.Assert(t, d.Cut.Sub(began) < grace*9/10, "%v: no time left to remove the row", grace)
 		assert.Assert(t, d.RefuseAfter.Sub(began) <= max(3*time.Second, grace*3/8), "%v", grace)
 	}
 }
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -18,6 +18,9 @@
 	// this daemon's row after the drain. It must be less than a sixth: requests may be cut
 	// off only in the last sixth of the grace period.
 	cleanupFraction = 0.14
+	// flushTime is the time for the responses to requests that the drain ends, before their
+	// connections are closed.
+	flushTime = 150 * time.Millisecond
 )
 
 // scaleDuration returns d multiplied by p.
@@ -25,7 +28,9 @@
 
 // newDrain returns the deadlines of a drain that starts at began.
 func newDrain(began time.Time, grace time.Duration) proxy.Drain {
-	return proxy.Drain{RefuseAfter: began.Add(scaleDuration(grace, refuseFraction)), End: began.Add(scaleDuration(grace, 1-cleanupFraction))}
+	cut := began.Add(scaleDuration(grace, 1-cleanupFraction))
+	flush := min(flushTime, scaleDuration(grace, 1-cleanupFraction-5.0/6)/2) // nothing ends before the last sixth
+	return proxy.Drain{RefuseAfter: began.Add(scaleDuration(grace, refuseFraction)), End: cut.Add(-flush), Cut: cut}
 }
 
 // stop drains the daemon: it completes the requests in flight as far as the grace
@@ -37,10 +42,10 @@
 	d := newDrain(began, grace)
 	n.proxy.SetDrain(d)
 	n.log.Info("daemon stops", "connections", n.server.Connections(), "grace", grace)
-	ctx, cancel := context.WithDeadline(context.Background(), d.End)
+	ctx, cancel := context.WithDeadline(context.Background(), d.Cut)
 	defer cancel()
 	err := n.server.Stop(ctx)
-	removeCtx, cancelRemove := context.WithDeadline(context.Background(), d.End.Add(scaleDuration(grace, cleanupFraction/2)))
+	removeCtx, cancelRemove := context.WithDeadline(context.Background(), d.Cut.Add(scaleDuration(grace, cleanupFraction/2)))
 	defer cancelRemove()
 	if removeErr := n.Store.Remove(removeCtx, daemonTable, n.Name); removeErr != nil {
 		n.log.Info("cannot remove this daemon's row from the store", "error", removeErr)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -174,6 +174,8 @@
 	switch {
 	case r == done:
 		return r
+	case errors.Is(ctx.Err(), context.Canceled) && a.drainEnded.Err() != nil && !a.x.Disconnected():
+		return expired
 	case errors.Is(ctx.Err(), context.Canceled):
 		return gone
 	case ctx.Err() != nil || time.Until(a.deadline) <= 0:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -176,10 +176,17 @@
 	Config
 	active atomic.Pointer[catalog.Config] // nil before the first SetCatalog
 	drain  atomic.Pointer[Drain]          // nil unless the daemon is stopping
+
+	drainEnded context.Context // ends at the end of a drain
+	endDrain   context.CancelFunc
 }
 
 // New returns a proxy that responds 503 until SetCatalog is called.
-func New(c Config) *Proxy { return &Proxy{Config: c} }
+func New(c Config) *Proxy {
+	p := &Proxy{Config: c}
+	p.drainEnded, p.endDrain = context.WithCancel(context.Background())
+	return p
+}
 
 // SetCatalog makes c the configuration of all later requests, unless it is older than the
 // current one. It is not safe for concurrent use with itself.
@@ -195,11 +202,16 @@
 // Drain holds the times of a drain in progress.
 type Drain struct {
 	RefuseAfter time.Time // requests that arrive later are refused if their deadline is after End
-	End         time.Time // when requests in flight are cut
+	End         time.Time // when requests in flight are abandoned and answered as expired
+	Cut         time.Time // when connections are closed
 }
 
-// SetDrain makes the proxy refuse requests that may not finish before the drain ends.
-func (p *Proxy) SetDrain(d Drain) { p.drain.Store(&d) }
+// SetDrain makes the proxy refuse requests that may not finish before the drain ends, and
+// answer those that have not finished by then.
+func (p *Proxy) SetDrain(d Drain) {
+	p.drain.Store(&d)
+	time.AfterFunc(time.Until(d.End), p.endDrain)
+}
 
 // outlastsDrain reports whether a request may not finish before the drain in progress ends.
 func (p *Proxy) outlastsDrain(arrived, deadline time.Time) bool {
--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -80,6 +80,7 @@
 	}
 	ctx, cancel := t.x.WithDeadline(ctx, t.deadline)
 	defer cancel()
+	defer context.AfterFunc(t.drainEnded, cancel)()
 	t.runAttempts(ctx)
 }
 
@@ -233,7 +234,7 @@
 func (t *task) runAttempts(ctx context.Context) {
 	t.Budget.CountRequest(t.service.Name, boottime.Now())
 	for try := 0; ; {
-		if time.Until(t.deadline) < minTimeLeft {
+		if time.Until(t.deadline) < minTimeLeft || t.drainEnded.Err() != nil {
 			t.giveUp(expired, nil)
 			return
 		}
