--- a/internal/mesh/network_test.go
+++ b/internal/mesh/network_test.go
@@ -42,7 +42,6 @@
 type queue struct {
 	rate   float64 // bytes per second
 	freeAt time.Time
-	bytes  int // carried so far
 }
 
 func newNetwork() *network {
@@ -60,16 +59,10 @@
 	if q.freeAt.Before(at) {
 		q.freeAt = at
 	}
-	q.bytes += size
 	q.freeAt = q.freeAt.Add(time.Duration(float64(size) / q.rate * float64(time.Second)))
 	return q.freeAt
 }
 
-// waitingBytes returns the number of bytes that wait in the queue.
-func (q *queue) waitingBytes(now time.Time) int {
-	return int(max(q.freeAt.Sub(now).Seconds(), 0) * q.rate)
-}
-
 // dial returns the function with which a host connects to others.
 func (n *network) dial(from *host) func(ctx context.Context, address string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
