A request without a body is known by its prompt

Requests of one caller on one path without a body all had the same content, so that the request was blamed for a segment of its prompt, and sound ones of that caller would have been refused. Where there is no body the prompt identifies the request now.

--- a/internal/proxy/brokenanswer.go
+++ b/internal/proxy/brokenanswer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"io"
 	"strconv"
 	"strings"
@@ -63,7 +64,7 @@
 }
 
 // Content returns a hash of what identifies a request that a caller sends again: host, path,
-// method, caller and body.
+// method, caller and body, or the prompt of a request without a body.
 func (r *Request) Content(customer string) uint64 {
 	h := xxhash.New()
 	for _, part := range []string{r.Host, r.Path, r.Method, customer} {
@@ -71,6 +72,11 @@
 		_, _ = h.Write([]byte{0})
 	}
 	_, _ = h.Write(r.Body)
+	if len(r.Body) == 0 {
+		for _, s := range r.Prompt {
+			_, _ = h.Write(binary.BigEndian.AppendUint64(nil, s.ID))
+		}
+	}
 	return h.Sum64()
 }
 
