--- a/internal/views/views.go
+++ b/internal/views/views.go
@@ -21,6 +21,9 @@
 // ErrHistoryGone means that the store no longer has all changes after a version.
 var ErrHistoryGone = errors.New("changes of the store table are no longer available")
 
+// ErrTooLarge means that a response of the store was longer than a daemon reads.
+var ErrTooLarge = errors.New("response of the store is too large")
+
 // Row is one row of a table.
 type Row struct {
 	Key     string
@@ -59,6 +62,9 @@
 	// reads/s.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
+	// tooLargeDelay is the pause after a response that was too large: the next one will be too,
+	// and each takes seconds of a slow link.
+	tooLargeDelay = 2 * time.Second
 	// delegatedPoll is the interval at which Delegated is called while it returns true.
 	delegatedPoll = 100 * time.Millisecond
 	// maxOdd bounds the descriptions of unreadable rows that are kept so as to log each once.
@@ -144,7 +150,11 @@
 		}
 		if err := v.read(ctx); err != nil && ctx.Err() == nil {
 			v.markDown(err)
-			sleep(ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
+			delay := minRetryDelay + rand.N(maxRetryDelay-minRetryDelay)
+			if errors.Is(err, ErrTooLarge) {
+				delay = tooLargeDelay
+			}
+			sleep(ctx, delay)
 		}
 	}
 }
