--- a/review/cases/pause/main.go
+++ b/review/cases/pause/main.go
@@ -51,8 +51,9 @@
 		kit.WriteRefusal(w, a, 503, fmt.Sprintf("Retry-After: %.0f\r\n", pause.Seconds()))
 		return true
 	})
-	d.StartRunner("i-0b52c6aa", "desk", "sierra-b", serve)
-	d.StartRunner("i-5d1e07f4", "desk", "sierra-c", serve)
+	for i := range 4 {
+		d.StartRunner(fmt.Sprintf("i-0b52c6a%d", i), "desk", fmt.Sprintf("sierra-%c", 'b'+i%2), serve)
+	}
 	d.StartDaemons(3)
 
 	// Three clients of each daemon look up orders, one after the other.
--- a/review/cases/quota/main.go
+++ b/review/cases/quota/main.go
@@ -1,7 +1,8 @@
 //go:build review
 
-// Command quota lets a small tenant use its quota evenly and then send one large request to
-// each machine at the same moment. It counts the tokens of what runs in a window.
+// Command quota lets a small tenant ask for its usual, and then for 5.9 times as much over 11 s:
+// every 3.4 s it sends one large request to each machine at the same moment. It counts the
+// tokens of what runs in a window.
 package main
 
 import (
@@ -20,8 +21,10 @@
 	window       = 8 * time.Second // quotaWindowS
 	excess       = 0.1             // quotaExcess
 	slack        = 72000           // quotaSlack
-	small, large = 1700, 36000
+	small, large = 1300, 36000
 	machines     = 6
+	hotFrom, hot = 9 * time.Second, 11 * time.Second
+	between      = 3400 * time.Millisecond // large requests
 )
 
 type sent struct {
@@ -60,13 +63,16 @@
 		})
 	}
 	begin := time.Now()
-	for n := range 100 { // 17,000 tokens a second for 10 s, below the limit
-		time.Sleep(time.Until(begin.Add(time.Duration(n) * 100 * time.Millisecond)))
+	volleys := 0
+	for n := range int((hotFrom + hot) / (100 * time.Millisecond)) { // 13,000 tokens a second, its usual
+		now := time.Duration(n) * 100 * time.Millisecond
+		time.Sleep(time.Until(begin.Add(now)))
 		send(n, n%machines, small)
-		if n == 90 && d.Trouble {
+		if d.Trouble && now >= hotFrom+time.Duration(volleys)*between {
+			volleys++
 			d.Log("the tenant sends one request of %d tokens to each machine", large)
 			for i := range machines {
-				send(1000+i, i, large)
+				send(1000*volleys+i, i, large)
 			}
 		}
 	}
