--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -9,11 +9,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -48,6 +54,10 @@
 	Cloud   *site.Cloud
 	Daemons []*Daemon
 	Trouble bool // false with TROUBLE=0
+	// FirstEra is the store's era before its first restore.
+	FirstEra int
+	// Calls are the calls to the platform that are the duty of one daemon at a time, in order.
+	Calls []Call
 
 	dir    string
 	start  time.Time
@@ -55,6 +65,12 @@
 	record *os.File
 }
 
+// Call is a call to the platform with a fencing token, and the status of its answer.
+type Call struct {
+	Subject, Holder, Token string
+	Status                 int
+}
+
 // Daemon is one lagoonmux process.
 type Daemon struct {
 	Name      string
@@ -74,7 +90,7 @@
 func New() *Deployment {
 	runtime.LockOSThread() // daemons end with the thread that started them
 	time.AfterFunc(110*time.Second, func() { fail(errors.New("took longer than 110 s")) })
-	d := &Deployment{Store: site.NewStore(), Trouble: os.Getenv("TROUBLE") != "0", start: time.Now()}
+	d := &Deployment{Store: site.NewStore(), Trouble: os.Getenv("TROUBLE") != "0", FirstEra: 1, start: time.Now()}
 	var err error
 	if d.record, err = os.Create("record.txt"); err != nil {
 		fail(err)
@@ -150,6 +166,46 @@
 	return l.Addr().(*net.TCPAddr).Port
 }
 
+// cloudProxy returns the address of a proxy of the platform's API that records the calls.
+func (d *Deployment) cloudProxy() string {
+	return d.proxy(d.Cloud.Address, func(r *http.Response) {
+		c := Call{r.Request.URL.Path, r.Request.Header.Get("X-Duty-Holder"), r.Request.Header.Get("X-Fence-Token"), r.StatusCode}
+		d.Log("%s calls %s with token %s: %d", c.Holder, c.Subject, c.Token, c.Status)
+		d.mu.Lock()
+		d.Calls = append(d.Calls, c)
+		d.mu.Unlock()
+	})
+}
+
+// eraProxy returns the address of a proxy of the store that counts eras from FirstEra; the
+// stand-in's first one is 1.
+func (d *Deployment) eraProxy(address string) string {
+	if d.FirstEra == 1 {
+		return address
+	}
+	return d.proxy(address, func(r *http.Response) {
+		if era, err := strconv.Atoi(r.Header.Get("Store-Era")); err == nil {
+			r.Header.Set("Store-Era", strconv.Itoa(era-1+d.FirstEra))
+		}
+	})
+}
+
+// proxy starts a proxy of a server; seen gets each response before it is passed on.
+func (d *Deployment) proxy(address string, seen func(r *http.Response)) string {
+	front := d.Address()
+	l, err := net.Listen("tcp", front)
+	if err != nil {
+		d.Fail(err)
+	}
+	p := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: address})
+	p.ModifyResponse = func(r *http.Response) error { seen(r); return nil }
+	p.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) } // there was no answer
+	p.ErrorLog = log.New(io.Discard, "", 0)
+	server := &http.Server{Handler: p, ErrorLog: p.ErrorLog}
+	go func() { _ = server.Serve(l) }()
+	return front
+}
+
 // Configure writes the configuration, as the operator does.
 func (d *Deployment) Configure(config map[string]any) { d.Store.PutJSON("op", "config", config) }
 
@@ -181,6 +237,7 @@
 // StartDaemons starts n daemons and waits until all are ready and know all runners.
 func (d *Deployment) StartDaemons(n int) {
 	var seeds []string
+	cloud := d.cloudProxy()
 	for i := range n {
 		endpoint, err := d.Store.Listen()
 		if err != nil {
@@ -204,8 +261,8 @@
 				"retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetExtra": 52, "quotaWindowS": 8, "quotaExcess": 0.1, "quotaSlack": 72000,
 				"requireFence": true, "leaseMs": 3000, "thawMs": 300, "usageWindowS": 5, "usageTolerance": 0.05, "usageLateS": 10, "recoveryS": 12,
 				"passMs": 120, "reuseWindowS": 7.3},
-			"platform": map[string]any{"address": endpoint.Address, "form": "table", "writesPerS": 400, "readsPerS": 2000, "txMs": 3.0},
-			"cloud":    map[string]any{"address": d.Cloud.Address, "ratePerS": 50.0, "duties": []string{"usage_report", "scaling"}, "dutyPerS": 50.0},
+			"platform": map[string]any{"address": d.eraProxy(endpoint.Address), "form": "table", "writesPerS": 400, "readsPerS": 2000, "txMs": 3.0},
+			"cloud":    map[string]any{"address": cloud, "ratePerS": 50.0, "duties": []string{"usage_report", "scaling"}, "dutyPerS": 50.0},
 		}
 		d.Daemons = append(d.Daemons, p)
 	}
