--- a/review/cases/crash/main.go
+++ b/review/cases/crash/main.go
@@ -73,9 +73,7 @@
 		mu.Lock()
 		counts[fmt.Sprintf("%s %d whole=%v", what, r.Status, r.Err == nil)]++
 		mu.Unlock()
-		if what != "sound" {
-			d.Log("the client of %s gets %d, whole=%v, after %d ms", id, r.Status, r.Err == nil, r.Took.Milliseconds())
-		}
+		d.Log("the client of %s (%s), sent to %s, gets %d, whole=%v, after %d ms", id, what, d.Daemons[daemon].Name, r.Status, r.Err == nil, r.Took.Milliseconds())
 	}
 	for i := range d.Daemons {
 		g.Go(func() {
--- a/review/cases/drill/main.go
+++ b/review/cases/drill/main.go
@@ -1,7 +1,7 @@
 //go:build review
 
-// Command drill lets the store come back from a copy some seconds old, shortly after a machine
-// has been stopped and started. Its argument is the store's era before.
+// Command drill lets the store come back from a copy some seconds old while two of six machines
+// leave in turn. Its argument is the store's era before.
 package main
 
 import (
@@ -52,9 +52,7 @@
 	copied := time.Now()
 	c := d.Store.Copy()
 	time.Sleep(500 * time.Millisecond)
-	a.Signal(syscall.SIGTERM)
-	<-a.Exited()
-	a.Start()
+	a.Signal(syscall.SIGTERM) // it leaves for good
 	time.Sleep(time.Until(copied.Add(7 * time.Second)))
 	b, token := holder()
 	d.Log("holder %s with token %d", b.Name, token)
@@ -63,12 +61,17 @@
 		for _, p := range d.Daemons {
 			p.Endpoint.SetErrorStatus(503)
 		}
-		time.Sleep(2 * time.Second)
+	}
+	back := time.Now().Add(2 * time.Second)
+	time.Sleep(500 * time.Millisecond)
+	b.Signal(syscall.SIGTERM) // so does the next one
+	time.Sleep(time.Until(back))
+	if d.Trouble {
 		d.Store.Restore(c)
 		for _, p := range d.Daemons {
 			p.Endpoint.SetErrorStatus(0)
 		}
-		d.Log("the store is back from a copy that is %.1f s old", time.Since(copied).Seconds()-2)
+		d.Log("the store is back from a copy that was %.1f s old when it went away", back.Sub(copied).Seconds()-2)
 	}
 	time.Sleep(9 * time.Second)
 	last, token := holder()
--- a/review/cases/pause/main.go
+++ b/review/cases/pause/main.go
@@ -66,6 +66,7 @@
 				for time.Now().Before(end) {
 					id := kit.NewID(i + 1)
 					r := kit.Request{Method: "GET", Path: "/look/17", ID: id, Timeout: time.Second}.Send(p.Front)
+					d.Log("the client of %s, sent to %s, gets %d, whole=%v", id, p.Name, r.Status, r.Err == nil)
 					mu.Lock()
 					counts[r.Status]++
 					mu.Unlock()
--- a/review/kit/runner.go
+++ b/review/kit/runner.go
@@ -170,6 +170,7 @@
 		r.mu.Lock()
 		r.arrivals = append(r.arrivals, a)
 		r.mu.Unlock()
+		r.deploy.Log("%s reaches %s", a.ID, r.ID)
 		if !r.Serve(&a, w) || w.Flush() != nil {
 			return
 		}
