Quarantine: an upstream that ends counts against all requests open there

What callers saw: a prompt part that ends each upstream after the first event of its answer, or before its head, was sent on without end; each end broke off the sound answers at that upstream.

Cause: node.accused took an end as evidence against segments only between the head and the first event, and against a request only before the first event. The stage of the one guilty request stood in for telling it from the sound ones that were open at the same upstream. Ruled out: that evidence does not reach other daemons (there was none), and that ends are not recognized (the same upstreams count after the head).

Now an end counts at any stage, against all requests open there, and what speaks for a request tells sound from guilty: a whole answer (as before), an answer with the same segment that comes clearly further than the one under which the upstream ended, another subject that explains the ends, and ends of many upstreams at once without it. Segments that came together each time are refused only together. Other daemons get ends, stages and progress in new fields; older builds ignore them and count what they counted before.

Tried first and dropped: ends at up to twice the time plus a second as the same point.

TestEvidenceIsBounded lets a second pass before the stronger evidence: 20,000 other upstreams ended in the same instant, and an end among them is no evidence any more. It still asks for three ends.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/lagoonmux/lagoonmux/internal/invariant"
 	"github.com/lagoonmux/lagoonmux/internal/proxy"
+	"github.com/lagoonmux/lagoonmux/internal/quarantine"
 )
 
 const (
@@ -35,7 +36,7 @@
 	attempts            map[attemptKey]int64               // attempts by upstream and result
 	uncountedRequests   int64                              // requests not counted because of maxSeries
 	unansweredQuestions atomic.Int64                       // questions that no hub has answered
-	broken              map[proxy.Stage]int64              // responses that upstreams broke off
+	broken              map[quarantine.Stage]int64         // responses that upstreams broke off
 	retries             int64                              // sends beyond the first of each request
 	resumed             int64                              // streams that were resumed at another upstream
 	prefillTokens       int64                              // prompt tokens prefilled by upstreams for first attempts
@@ -48,7 +49,7 @@
 
 func newMetrics() *metrics {
 	return &metrics{requests: make(map[series]int64), firstEvent: make(map[series]*hdrhistogram.Histogram),
-		attempts: make(map[attemptKey]int64), broken: make(map[proxy.Stage]int64)}
+		attempts: make(map[attemptKey]int64), broken: make(map[quarantine.Stage]int64)}
 }
 
 // causeLabel returns the value of the cause label: how a request ended.
@@ -111,7 +112,7 @@
 }
 
 // addBroken counts a response that an upstream broke off.
-func (m *metrics) addBroken(s proxy.Stage) {
+func (m *metrics) addBroken(s quarantine.Stage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.broken[s]++
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -18,7 +18,7 @@
 func (n *Node) AnswerBroken(b proxy.BrokenAnswer) {
 	n.metrics.addBroken(b.Stage)
 	n.log.Info("answer broken off", "id", b.Request.ID, "upstream", b.Upstream.ID, "service", b.Service, "stage", b.Stage.String(),
-		"first_age_ms", b.FirstAge.Milliseconds(), "content", strconv.FormatUint(b.Content, 16), "segments", proxy.FormatSegments(b.Request.SharedPrompt()))
+		"first_age_ms", b.Progress.Time.Milliseconds(), "events", b.Progress.Events, "content", strconv.FormatUint(b.Content, 16), "segments", proxy.FormatSegments(b.Request.SharedPrompt()))
 }
 
 // RequestEnded implements proxy.Observer. It counts the request in the metrics and logs it.
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,6 +18,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
+	"github.com/lagoonmux/lagoonmux/internal/invariant"
 	"github.com/lagoonmux/lagoonmux/internal/mesh"
 	"github.com/lagoonmux/lagoonmux/internal/mesh/meshpb"
 	"github.com/lagoonmux/lagoonmux/internal/netopt"
@@ -71,12 +73,14 @@
 	TrialMS   int64  `json:"trialAt"` // unix time of the last one; 0 for none
 	Confirmed bool   `json:"confirmed"`
 	Software  uint32 `json:"software"` // hash, at the last trial
+	// Hashes of the segments that a request must have too to be refused.
+	Companions []uint64 `json:"companions,omitempty"`
 }
 
 // newQuarantineRow returns the row for a statement made at a unix time.
 func newQuarantineRow(s quarantine.Statement, unixNow time.Duration) quarantineRow {
 	r := quarantineRow{Service: s.Service, Segment: s.ID, Request: s.Request, SinceMS: (unixNow - s.QuarantineAge).Milliseconds(), Ended: s.Ended,
-		Trials: s.Trials, Confirmed: s.Confirmed, Software: s.Software}
+		Trials: s.Trials, Confirmed: s.Confirmed, Software: s.Software, Companions: s.Companions}
 	if s.TrialAge > 0 {
 		r.TrialMS = (unixNow - s.TrialAge).Milliseconds()
 	}
@@ -87,7 +91,7 @@
 func (r *quarantineRow) statement(unixNow time.Duration) quarantine.Statement {
 	age := func(ms int64) time.Duration { return max(unixNow-time.Duration(ms)*time.Millisecond, time.Millisecond) }
 	s := quarantine.Statement{Subject: quarantine.Subject{Service: r.Service, ID: r.Segment, Request: r.Request}, Quarantined: true, QuarantineAge: age(r.SinceMS),
-		Ended: r.Ended, Trials: r.Trials, Confirmed: r.Confirmed, Software: r.Software}
+		Ended: r.Ended, Trials: r.Trials, Confirmed: r.Confirmed, Software: r.Software, Companions: r.Companions}
 	if r.TrialMS > 0 {
 		s.TrialAge = age(r.TrialMS)
 	}
@@ -126,39 +130,78 @@
 	q.log(q.table.Completed(subjects, boottime.Now()), q.node.Name)
 }
 
-// accused returns the subjects against which a broken response is evidence, if its upstream
-// has ended: all of them after a head and no event, the request alone before the head.
-func accused(b proxy.BrokenAnswer) []quarantine.Subject {
-	switch b.Stage {
-	case proxy.BeforeEvent:
-		return b.Subjects
-	case proxy.BeforeHead:
-		return slices.DeleteFunc(slices.Clone(b.Subjects), func(s quarantine.Subject) bool { return !s.Request })
-	}
-	return nil
+// Progressed implements proxy.Quarantine.
+func (q *segmentQuarantine) Progressed(subjects []quarantine.Subject, progress quarantine.Progress) {
+	q.log(q.table.Progressed(subjects, progress, boottime.Now()), q.node.Name)
 }
 
-// Broken implements proxy.Quarantine. A response without an event is evidence if the upstream
-// has ended without having announced it.
+// Broken implements proxy.Quarantine. A broken response is evidence if the upstream has ended
+// without having announced it. The caller waits for the outcome only if there is evidence
+// against its request already.
 func (q *segmentQuarantine) Broken(ctx context.Context, b proxy.BrokenAnswer) (mayRerun bool) {
-	subjects := accused(b)
 	at := boottime.Now()
-	if b.Suspended || len(subjects) == 0 || !q.serving(b.Upstream) {
+	switch {
+	case b.Suspended:
+		q.logNoEvidence(b, "this VM was suspended")
+		return true
+	case !q.serving(b.Upstream):
+		q.logNoEvidence(b, "the upstream announced it or has no entry")
+		return true
+	case q.table.Accused(b.Subjects):
+		return q.recordEnd(ctx, b, at)
+	}
+	go func() {
+		defer invariant.Recover(q.node.log, "record the end of an upstream")
+		q.recordEnd(context.WithoutCancel(ctx), b, at)
+	}()
+	return true
+}
+
+// recordEnd records that an upstream ended under a request at a boot time, if it has ended.
+func (q *segmentQuarantine) recordEnd(ctx context.Context, b proxy.BrokenAnswer, at time.Duration) (mayRerun bool) {
+	if !q.hasEnded(ctx, b.Upstream) {
+		q.logNoEvidence(b, "the upstream accepts connections or cannot be reached")
 		return true
 	}
-	if !q.hasEnded(ctx, b.Upstream) || !q.serving(b.Upstream) {
+	if !q.serving(b.Upstream) {
+		q.logNoEvidence(b, "the upstream announced it or has no entry")
 		return true
 	}
 	q.ended.Add(1)
-	hash := throttle.Hash(b.Upstream.Key())
-	repeated, changes := q.table.Ended(subjects, quarantine.End{Upstream: hash, SentAt: b.SentAt, At: at}, boottime.Now())
-	q.node.log.Warn("upstream ended under a request", "upstream", b.Upstream.ID, "born", b.Upstream.Incarnation, "id", b.Request.ID,
-		"service", b.Service, "stage", b.Stage.String(), "content", strconv.FormatUint(b.Content, 16),
-		"segments", proxy.FormatSegments(b.Request.SharedPrompt()), "suspected_before", repeated)
+	end := quarantine.End{Upstream: throttle.Hash(b.Upstream.Key()), SentAt: b.SentAt, At: at, Stage: b.Stage, Progress: b.Progress}
+	repeated, effects, changes := q.table.Ended(b.Subjects, end, boottime.Now())
+	fields := []any{"upstream", b.Upstream.ID, "born", b.Upstream.Incarnation, "hash", strconv.FormatUint(end.Upstream, 16), "id", b.Request.ID,
+		"service", b.Service, "stage", b.Stage.String(), "progress_ms", end.Progress.Time.Milliseconds(), "events", end.Progress.Events, "run_ms", (at - b.SentAt).Milliseconds(),
+		"content", strconv.FormatUint(b.Content, 16), "may_rerun", !repeated}
+	q.node.log.Warn("upstream ended under a request", append(fields, effectFields(effects)...)...)
 	q.log(changes, q.node.Name)
 	return !repeated
 }
 
+func (q *segmentQuarantine) logNoEvidence(b proxy.BrokenAnswer, reason string) {
+	q.node.log.Info("broken answer is no evidence", "upstream", b.Upstream.ID, "id", b.Request.ID, "reason", reason)
+}
+
+// effectFields returns the fields of a log line that tell against which subjects an end
+// counts, and why not against the others.
+func effectFields(effects []quarantine.Effect) (fields []any) {
+	names := [...]string{quarantine.Evidence: "evidence_for", quarantine.WasAnswered: "answered", quarantine.WasOutlived: "outlived",
+		quarantine.WasKnown: "known_for", quarantine.Dropped: "dropped_for"}
+	for kind, name := range names {
+		var ids []string
+		for _, e := range effects {
+			if e.Kind == quarantine.EffectKind(kind) {
+				key, id := logField(e.Subject)
+				ids = append(ids, key+":"+id)
+			}
+		}
+		if len(ids) > 0 {
+			fields = append(fields, name, strings.Join(ids, ","))
+		}
+	}
+	return fields
+}
+
 // serving reports whether an upstream is known and has not announced that it leaves.
 func (q *segmentQuarantine) serving(u *roster.Upstream) bool {
 	known := q.node.roster.roster().Get(u.ID)
@@ -247,8 +290,18 @@
 			}
 		}
 		key, id := logField(c.Subject)
-		q.node.log.Warn(what+c.Kind.String(), "service", c.Service, key, id, "ended", c.Ended, "told_by", toldBy)
+		q.node.log.Warn(what+c.Kind.String(), "service", c.Service, key, id, "ended", c.Ended, "companions", c.Companions, "ends", formatEnds(c.Ends), "told_by", toldBy)
+	}
+}
+
+// formatEnds lists the upstreams that ended, by the hash in the lines on their ends, with the
+// stage, the events and the time from the first event of the response.
+func formatEnds(ends []quarantine.End) string {
+	list := make([]string, len(ends))
+	for i, e := range ends {
+		list[i] = fmt.Sprintf("%x:%s:%d:%dms", e.Upstream, e.Stage, e.Progress.Events, e.Progress.Time.Milliseconds())
 	}
+	return strings.Join(list, ",")
 }
 
 // tick begins quarantines that are due.
@@ -320,7 +373,7 @@
 		key := quarantineKey(s.Subject)
 		current[key] = true
 		old, stored := rows[key]
-		if _, self := q.node.mesh.Arbiter(s.Hash()); !self || stored && old.Trials == s.Trials && old.Confirmed == s.Confirmed {
+		if _, self := q.node.mesh.Arbiter(s.Hash()); !self || stored && old.Trials == s.Trials && old.Confirmed == s.Confirmed && slices.Equal(old.Companions, s.Companions) {
 			continue
 		}
 		if !q.writeRow(ctx, key, newQuarantineRow(s, q.node.Clock.Now())) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/catalog"
 	"github.com/lagoonmux/lagoonmux/internal/egress"
 	"github.com/lagoonmux/lagoonmux/internal/membudget"
+	"github.com/lagoonmux/lagoonmux/internal/quarantine"
 	"github.com/lagoonmux/lagoonmux/internal/routing/place"
 )
 
@@ -56,6 +57,8 @@
 	drainTimeout  = 20 * time.Millisecond
 	// silenceCheckInterval is the time between checks whether an upstream is silent.
 	silenceCheckInterval = 200 * time.Millisecond
+	// progressInterval is the time between reports that a stream goes on.
+	progressInterval = 2 * time.Second
 )
 
 // errNotAccepting means that the upstream stopped accepting requests after it was chosen.
@@ -79,6 +82,8 @@
 	headArrived    bool          // the head of the response arrived
 	responded      bool          // the first event or the complete response arrived
 	firstAt        time.Duration // boot time at which it did
+	progressAt     time.Duration // boot time of the last report of the response's progress
+	events         int           // of the stream that were relayed
 	connsExhausted bool          // no connection was available within the upstream's limit
 }
 
@@ -380,6 +385,7 @@
 	}
 	a.responded = true
 	a.firstAt = boottime.Now()
+	a.progressAt = a.firstAt
 	now := time.Now()
 	a.Placer.FirstEvent(a.choice, now.Sub(a.startTime), boottime.Now())
 	if a.record.First.IsZero() {
@@ -389,3 +395,21 @@
 		}
 	}
 }
+
+// reportProgress reports at intervals that the stream goes on.
+func (a *attempt) reportProgress() {
+	now := boottime.Now()
+	if now-a.progressAt < progressInterval {
+		return
+	}
+	a.progressAt = now
+	a.Quarantine.Progressed(a.subjects, a.progress(now))
+}
+
+// progress returns how far the response has come.
+func (a *attempt) progress(now time.Duration) quarantine.Progress {
+	if !a.responded {
+		return quarantine.Progress{}
+	}
+	return quarantine.Progress{Time: now - a.firstAt, Events: a.events}
+}
--- a/internal/proxy/brokenanswer.go
+++ b/internal/proxy/brokenanswer.go
@@ -18,19 +18,6 @@
 	"github.com/lagoonmux/lagoonmux/internal/routing/place"
 )
 
-// Stage is how far a response had come when its connection ended.
-type Stage int
-
-// Stages of a response.
-const (
-	BeforeHead  Stage = iota // no complete head arrived
-	BeforeEvent              // the head arrived, but neither an event nor a complete body
-	AfterEvent               // at least one event arrived
-)
-
-// String returns the name used in logs and metrics.
-func (s Stage) String() string { return [...]string{"before_head", "before_event", "after_event"}[s] }
-
 // BrokenAnswer describes a request whose connection the upstream ended before the response
 // was complete.
 type BrokenAnswer struct {
@@ -39,12 +26,12 @@
 	Subjects []quarantine.Subject // of the request
 	Service  string
 	Upstream *roster.Upstream
-	Stage    Stage
+	Stage    quarantine.Stage
 	SentAt   time.Duration // boot time
 	// Suspended is set if this VM was suspended since then. The connection may then have
 	// ended at any time.
 	Suspended bool
-	FirstAge  time.Duration // since the first event arrived; 0 if none did
+	Progress  quarantine.Progress
 }
 
 // maxClockGap is how much the boot clock may run ahead of the monotonic clock, which stops
@@ -106,13 +93,14 @@
 	if res != lost && res != broken || ctx.Err() != nil || !connectionEnded(err) {
 		return
 	}
-	b := BrokenAnswer{Request: a.req, Content: a.record.Content, Subjects: a.subjects, Service: a.service.Name, Upstream: a.choice.Upstream, SentAt: a.sentAt}
+	b := BrokenAnswer{Request: a.req, Content: a.record.Content, Subjects: a.subjects, Service: a.service.Name, Upstream: a.choice.Upstream, SentAt: a.sentAt,
+		Progress: a.progress(boottime.Now())}
 	b.Suspended = boottime.Now()-a.sentAt > time.Since(a.startTime)+maxClockGap
 	switch {
 	case a.responded:
-		b.Stage, b.FirstAge = AfterEvent, boottime.Now()-a.firstAt
+		b.Stage = quarantine.AfterEvent
 	case a.headArrived:
-		b.Stage = BeforeEvent
+		b.Stage = quarantine.BeforeEvent
 	}
 	a.Observer.AnswerBroken(b)
 	if !a.Quarantine.Broken(ctx, b) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -144,6 +144,8 @@
 	Broken(ctx context.Context, b BrokenAnswer) (mayRerun bool)
 	// Completed records a whole response with a success status.
 	Completed(subjects []quarantine.Subject)
+	// Progressed records that a response still goes on.
+	Progressed(subjects []quarantine.Subject, progress quarantine.Progress)
 }
 
 // Config holds the dependencies of a Proxy.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -166,6 +166,8 @@
 		return &relayError{a.lostOrBroken(), errInvariant}
 	}
 	a.recordFirst()
+	a.events += bytes.Count(events, eventEnd)
+	a.reportProgress()
 	if !a.stream.started {
 		a.stream.started = true
 		resp := fasthttp.AcquireResponse()
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// newsTime is how long a change is in every message to other daemons. It covers
@@ -18,6 +21,9 @@
 	Ends          []EndAge
 	Cleared       bool
 	ClearedAge    time.Duration // of the time up to which evidence is void; may be below 0
+	Survived      bool
+	SurvivalAge   time.Duration // since a response with it had come as far as Progress
+	Progress      Progress
 	Quarantined   bool
 	QuarantineAge time.Duration
 	Ended         int
@@ -25,12 +31,15 @@
 	TrialAge      time.Duration // 0 if there was none
 	Confirmed     bool
 	Software      uint32 // at the last trial
+	Companions    []uint64
 }
 
 // EndAge is an End in a Statement.
 type EndAge struct {
 	Upstream     uint64
 	SentAge, Age time.Duration
+	Stage        Stage
+	Progress     Progress
 }
 
 // Statements returns what to tell another daemon: all, or what changed recently and, in
@@ -53,14 +62,17 @@
 	if e.clearedAt > 0 {
 		s.Cleared, s.ClearedAge = true, now-e.clearedAt
 	}
+	if e.survival.at > 0 {
+		s.Survived, s.SurvivalAge, s.Progress = true, now-e.survival.at, e.survival.progress
+	}
 	if e.since > 0 {
-		s.Quarantined, s.QuarantineAge = true, now-e.since
+		s.Quarantined, s.QuarantineAge, s.Companions = true, now-e.since, slices.Clone(e.companions)
 	}
 	if e.trial.at > 0 {
 		s.TrialAge = max(now-e.trial.at, time.Millisecond)
 	}
 	for _, end := range e.ends {
-		s.Ends = append(s.Ends, EndAge{end.Upstream, now - end.SentAt, now - end.At})
+		s.Ends = append(s.Ends, EndAge{end.Upstream, now - end.SentAt, now - end.At, end.Stage, end.Progress})
 	}
 	return s
 }
@@ -86,33 +98,44 @@
 
 // isMalformed reports whether no daemon makes such a statement.
 func (s *Statement) isMalformed() bool {
-	bad := s.Service == "" || s.Cleared && s.ClearedAge < -2*clearMargin || s.QuarantineAge < 0 || s.TrialAge < 0 || s.Ended < 0 || s.Trials < 0
+	bad := s.Service == "" || s.Cleared && s.ClearedAge < -2*clearMargin || s.QuarantineAge < 0 || s.TrialAge < 0 || s.Ended < 0 || s.Trials < 0 ||
+		s.Survived && (s.SurvivalAge < 0 || s.Progress.isMalformed())
 	for _, end := range s.Ends {
-		bad = bad || end.Age < 0 || end.SentAge < end.Age
+		bad = bad || end.Age < 0 || end.SentAge < end.Age || end.Progress.isMalformed() || end.Progress.Time > end.SentAge-end.Age+runTimeError
 	}
 	return bad
 }
 
+func (p Progress) isMalformed() bool { return p.Time < 0 || p.Events < 0 }
+
 func (e *suspect) merge(s Statement, now time.Duration) []Change {
 	var changes []Change
 	if until := now - s.ClearedAge; s.Cleared && until > e.clearedAt+maxTransit {
 		e.changedAt = now
 		changes = e.clear(until)
 	}
-	for _, end := range s.Ends {
-		at := now - end.Age
-		if at <= e.clearedAt && (!s.Cleared || now-s.ClearedAge < at) {
-			e.changedAt = now // the other daemon must hear that its evidence is void
+	survived := survival{}
+	if s.Survived {
+		survived = survival{s.Progress, now - s.SurvivalAge}
+		changes = append(changes, e.outlive(survived, now)...)
+	}
+	for _, a := range s.Ends {
+		end := End{Upstream: a.Upstream, SentAt: now - a.SentAge, At: now - a.Age, Stage: a.Stage, Progress: a.Progress}
+		kind, more := e.add(end, now)
+		if kind == WasAnswered && (!s.Cleared || now-s.ClearedAge < end.At) || kind == WasOutlived && !survived.voids(end) {
+			e.changedAt = now // the other daemon must learn that its evidence is void
 		}
-		changes = append(changes, e.add(End{end.Upstream, now - end.SentAge, at}, now)...)
+		changes = append(changes, more...)
 	}
 	since := now - s.QuarantineAge
 	if !s.Quarantined || since <= e.clearedAt {
 		return changes
 	}
 	if e.since == 0 {
-		e.since, e.ended, e.changedAt = since, s.Ended, now
-		changes = append(changes, Change{e.Subject, Quarantined, e.ended})
+		e.since, e.ended, e.companions, e.changedAt = since, s.Ended, slices.Clone(s.Companions), now
+		changes = append(changes, e.change(Quarantined))
+	} else {
+		e.companions = slices.DeleteFunc(e.companions, func(hash uint64) bool { return !slices.Contains(s.Companions, hash) })
 	}
 	e.ended = max(e.ended, s.Ended)
 	before := e.trial
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,15 +1,21 @@
-// Package quarantine finds prompt segments and requests that end each upstream which begins to
-// answer them, and keeps them from further upstreams. A request that comes again is known by
-// its content.
+// Package quarantine finds prompt segments and requests that end each upstream which answers
+// them, and keeps them from further upstreams. A request that comes again is known by its
+// content.
 //
-// Evidence against a segment is an upstream that ended while it had sent the head of the
-// response to a request with the segment and no event yet; evidence against a request is also
-// an end before the head. A whole response to a request with the segment, or with the same
-// content, clears it of all earlier evidence. Daemons exchange their evidence, so that each
-// comes to the same conclusion: a segment is quarantined once independentEnds upstreams have
-// ended one after the other, each under a request that was sent after the end before, with no
-// whole response in between. Upstreams that end together, as in a reclaim, are one piece of
-// evidence. For a request, two of three ends may have been at the same time.
+// Evidence against the segments of a request, and against the request itself, is an upstream
+// that ended while it was open there, however much of the response had been sent. Most
+// requests that are open at an upstream that ends are sound. Two kinds of answers tell them
+// apart: a whole response to a request with the same segment, or the same content, clears it
+// of all earlier evidence; a response that comes clearly further than the one under which an
+// upstream ended voids that end, since what ends upstreams ends each one at about the same
+// point.
+//
+// Daemons exchange their evidence, so that each comes to the same conclusion: a segment is
+// quarantined once independentEnds upstreams have ended one after the other, unless another
+// subject explains these ends. Upstreams that end together, as in a reclaim, are one piece of
+// evidence, and none if most ended without the segment. For a request, two of three ends may
+// have been at the same time. Segments that were in the same requests each time cannot be told
+// apart; only requests with all of them are refused.
 //
 // The package does no I/O and takes the boot time, which also advances while the VM is
 // suspended, as an argument.
@@ -46,12 +52,40 @@
 	clearedTTL = 30 * time.Second
 	// maxSuspects bounds the subjects against which there is evidence, maxEnds the ends
 	// that are kept for each.
-	maxSuspects = 512
-	maxEnds     = 16
+	maxSuspects   = 512
+	maxEnds       = 16
+	maxCompanions = 16
 	// maxTransit is how much two daemons' times of the same moment may differ.
 	maxTransit = 500 * time.Millisecond
+	// One point of a response lies clearly before another if it is more than progressSlack
+	// and more than eventSlack events before it: upstreams differ in speed, and what ends
+	// them may do so after the same time or after the same event.
+	progressSlack = 500 * time.Millisecond
+	eventSlack    = 2
+	// independentGap is the time between two requests, and between the ends under them, from
+	// which on responses that had begun count one by one.
+	independentGap = 300 * time.Millisecond
+	// An end is no evidence if sharedEnds other upstreams ended within sharedWindow of it
+	// without the subject.
+	sharedEnds   = 4
+	sharedWindow = 200 * time.Millisecond
+	// runTimeError bounds the error of the difference of two ages from a message.
+	runTimeError = 2 * time.Millisecond
 )
 
+// Stage is how far a response had come when its connection ended.
+type Stage int
+
+// Stages of a response.
+const (
+	BeforeHead  Stage = iota // no complete head arrived
+	BeforeEvent              // the head arrived, but neither an event nor a complete body
+	AfterEvent               // at least one event arrived
+)
+
+// String returns the name used in logs and metrics.
+func (s Stage) String() string { return [...]string{"before_head", "before_event", "after_event"}[s] }
+
 // Subject is what may end upstreams: a prompt segment of the requests for one service, or a
 // request for it.
 type Subject struct {
@@ -84,25 +118,52 @@
 	Upstream uint64        // hash of its ID and incarnation
 	SentAt   time.Duration // when the request was sent
 	At       time.Duration
+	Stage    Stage
+	Progress Progress
+
+	shared bool // something else ended several upstreams at the time
+}
+
+// runTime returns the time from sending the request to the end.
+func (e End) runTime() time.Duration { return e.At - e.SentAt }
+
+// Progress is how far a response has come.
+type Progress struct {
+	Time   time.Duration // since the first event; 0 if none arrived
+	Events int
+}
+
+// clearlyBefore reports whether p is an earlier point of a response than o.
+func (p Progress) clearlyBefore(o Progress) bool {
+	return o.Time > p.Time+progressSlack && o.Events > p.Events+eventSlack
 }
 
 // suspect is a subject with evidence against it, or one that was cleared recently.
 type suspect struct {
 	Subject
-	ends      []End         // in order of At; those at or before clearedAt are dropped
-	heardAt   time.Duration // when this daemon heard of the first of ends
-	clearedAt time.Duration // evidence up to this time is void; 0 for none
-	since     time.Duration // start of the quarantine; 0 for none
-	ended     int           // upstreams that had ended when the quarantine began
-	trial     trialState
-	changedAt time.Duration // last change that other daemons must hear of
+	ends       []End         // in order of At, without those that are void
+	heardAt    time.Duration // when this daemon received the first of ends
+	clearedAt  time.Duration // evidence up to this time is void; 0 for none
+	survival   survival      // voids ends at earlier points
+	since      time.Duration // start of the quarantine; 0 for none
+	ended      int           // upstreams that had ended when the quarantine began
+	companions []uint64      // hashes of segments that a request must have too to be refused; sorted
+	trial      trialState
+	changedAt  time.Duration // last change that other daemons must receive
 }
 
 // Change is a change of what a daemon believes about a segment.
 type Change struct {
 	Subject
-	Kind  ChangeKind
-	Ended int // upstreams that ended under it
+	Kind       ChangeKind
+	Ended      int   // upstreams that ended under it
+	Ends       []End // the evidence, as far as this daemon has it
+	Companions int   // segments that a request must have too to be refused
+}
+
+// change returns a Change of e.
+func (e *suspect) change(k ChangeKind) Change {
+	return Change{e.Subject, k, max(e.ended, len(e.ends)), slices.Clone(e.ends), len(e.companions)}
 }
 
 // ChangeKind is the kind of a Change.
@@ -127,6 +188,7 @@
 	suspects  map[uint64]*suspect // by hash of the subject
 	completed recentTimes         // segments of whole responses
 	answered  recentTimes         // requests with whole responses
+	outlived  recentSurvivals     // subjects of responses that go on
 }
 
 // NewTable returns a table without evidence.
@@ -147,7 +209,7 @@
 	var changes []Change
 	for _, s := range subjects {
 		hash := s.Hash()
-		t.recent(s).add(hash, now)
+		t.recent(s).add(hash, now, now)
 		if e := t.suspects[hash]; e != nil && e.accused() {
 			e.changedAt = now
 			changes = append(changes, e.clear(now+clearMargin)...)
@@ -156,20 +218,98 @@
 	return changes
 }
 
+// Progressed records that the response to a request with the given subjects still goes on.
+func (t *Table) Progressed(subjects []Subject, progress Progress, now time.Duration) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []Change
+	for _, s := range subjects {
+		hash := s.Hash()
+		v := t.outlived.add(hash, survival{progress, now})
+		if e := t.suspects[hash]; e != nil && e.accused() {
+			changes = append(changes, e.outlive(v, now)...)
+		}
+	}
+	return changes
+}
+
+// Effect is what the end of an upstream means for one subject of a request.
+type Effect struct {
+	Subject
+	Kind EffectKind
+}
+
+// EffectKind is the kind of an Effect.
+type EffectKind int
+
+// Kinds of effects.
+const (
+	Evidence    EffectKind = iota // it counts against the subject
+	WasAnswered                   // it is void: a request with the subject was answered
+	WasOutlived                   // it is void: a response with the subject came further
+	WasKnown                      // the end is known from another request with the subject
+	Dropped                       // there is no room for it, or it is too old
+)
+
+// Accused reports whether there is evidence against one of the subjects.
+func (t *Table) Accused(subjects []Subject) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(subjects, func(s Subject) bool {
+		e := t.suspects[s.Hash()]
+		return e != nil && e.accused()
+	})
+}
+
 // Ended records that an upstream ended under a request with the given subjects. It reports
-// whether there was evidence against one of them before.
-func (t *Table) Ended(subjects []Subject, end End, now time.Duration) (repeated bool, changes []Change) {
+// whether one of them may well be the cause, so that the request must not be sent again, and
+// the effect on each.
+func (t *Table) Ended(subjects []Subject, end End, now time.Duration) (repeated bool, effects []Effect, changes []Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range subjects {
-		e := t.suspect(s, now)
-		if e == nil {
-			continue
+		kind, e := t.recentEffect(s, end), (*suspect)(nil)
+		if kind == Evidence {
+			e = t.suspect(s, now)
 		}
-		repeated = repeated || e.accused()
-		changes = append(changes, e.add(end, now)...)
+		switch {
+		case kind != Evidence:
+		case e == nil:
+			kind = Dropped
+		default:
+			var more []Change
+			kind, more = e.add(end, now)
+			changes = append(changes, more...)
+			e.narrow(subjects, now)
+			repeated = repeated || e.repeated()
+		}
+		effects = append(effects, Effect{s, kind})
+	}
+	return repeated, effects, changes
+}
+
+// recentEffect returns why an end is void for a subject without evidence against it, so that
+// no entry is needed, or Evidence. The caller holds mu.
+func (t *Table) recentEffect(s Subject, end End) EffectKind {
+	hash := s.Hash()
+	if t.suspects[hash] != nil {
+		return Evidence
+	}
+	if at, ok := t.recent(s).get(hash); ok && end.At <= at+clearMargin {
+		return WasAnswered
+	}
+	if v, ok := t.outlived.get(hash); ok && v.voids(end) {
+		return WasOutlived
+	}
+	return Evidence
+}
+
+// repeated reports whether the evidence suffices not to send a request again.
+func (e *suspect) repeated() bool {
+	if e.Request {
+		return e.since > 0 || len(e.counted()) > 1
 	}
-	return repeated, changes
+	return e.since > 0 || e.independent() > 1
 }
 
 // suspect returns the entry of a subject, a new one if there is none, or nil if there is no
@@ -187,6 +327,9 @@
 	if at, ok := t.recent(s).get(hash); ok && !e.accused() {
 		e.clearedAt = max(e.clearedAt, at+clearMargin)
 	}
+	if v, ok := t.outlived.get(hash); ok && !e.accused() {
+		e.survival = e.survival.merge(v)
+	}
 	return e
 }
 
@@ -207,24 +350,84 @@
 	return least != nil
 }
 
-// add adds an end unless it is known or void.
-func (e *suspect) add(end End, now time.Duration) []Change {
-	known := slices.ContainsFunc(e.ends, func(o End) bool { return o.Upstream == end.Upstream })
-	if known || end.At <= e.clearedAt || now-end.At > evidenceTTL || len(e.ends) == maxEnds {
-		return nil
+// effect returns what an end means for the subject.
+func (e *suspect) effect(end End, now time.Duration) EffectKind {
+	switch {
+	case end.At <= e.clearedAt:
+		return WasAnswered
+	case e.survival.voids(end):
+		return WasOutlived
+	case now-end.At > evidenceTTL:
+		return Dropped
+	}
+	return Evidence
+}
+
+// add adds an end unless it is known or void. Of several requests that were open at the
+// upstream, the one that had come furthest counts.
+func (e *suspect) add(end End, now time.Duration) (EffectKind, []Change) {
+	if kind := e.effect(end, now); kind != Evidence {
+		return kind, nil
+	}
+	i := slices.IndexFunc(e.ends, func(o End) bool { return o.Upstream == end.Upstream })
+	switch {
+	case i >= 0 && end.Progress.Time <= e.ends[i].Progress.Time:
+		return WasKnown, nil
+	case i >= 0:
+		e.ends[i] = end
+	case len(e.ends) == maxEnds:
+		return Dropped, nil
 	}
 	first := !e.accused()
 	if first {
 		e.heardAt = now
 	}
-	e.ends = append(e.ends, end)
+	if i < 0 {
+		e.ends = append(e.ends, end)
+	}
 	slices.SortFunc(e.ends, func(a, b End) int { return int(a.At - b.At) })
 	e.changedAt = now
 	changes := e.trial.recordEnd(e, end)
 	if first {
-		changes = append(changes, Change{e.Subject, Suspected, 1})
+		changes = append(changes, e.change(Suspected))
 	}
-	return changes
+	return Evidence, changes
+}
+
+// narrow drops the companions that a request with e did not have when it ended an upstream.
+func (e *suspect) narrow(subjects []Subject, now time.Duration) {
+	if len(e.companions) == 0 {
+		return
+	}
+	before := len(e.companions)
+	e.companions = slices.DeleteFunc(e.companions, func(hash uint64) bool { return !containsHash(subjects, hash) })
+	if len(e.companions) < before {
+		e.changedAt = now
+	}
+}
+
+func containsHash(subjects []Subject, hash uint64) bool {
+	return slices.ContainsFunc(subjects, func(s Subject) bool { return s.Hash() == hash })
+}
+
+// outlive voids ends at earlier points than a response has come to, and ends the quarantine if
+// it rests on these alone.
+func (e *suspect) outlive(v survival, now time.Duration) []Change {
+	merged := e.survival.merge(v)
+	if merged == e.survival {
+		return nil
+	}
+	e.survival = merged
+	before := len(e.ends)
+	e.ends = slices.DeleteFunc(e.ends, e.survival.voids)
+	if len(e.ends) == before {
+		return nil
+	}
+	e.changedAt = now
+	if e.since == 0 || len(e.ends) > 0 {
+		return nil
+	}
+	return e.clear(e.since)
 }
 
 // clear voids the evidence up to a time, and ends the quarantine if none is left.
@@ -236,26 +439,77 @@
 		return nil
 	}
 	e.clearedAt = max(e.clearedAt, e.since) // so that no other daemon's judgement brings it back
-	e.since, e.trial = 0, trialState{}
-	return []Change{{e.Subject, Released, e.ended}}
+	change := e.change(Released)
+	e.since, e.trial, e.companions = 0, trialState{}, nil
+	return []Change{change}
 }
 
-// independent returns the number of ends that happened one after the other, each under a
-// request that was sent after the end before.
-func (e *suspect) independent() (n int) {
-	last := time.Duration(-1)
+// counted returns the ends without those at a clearly earlier point than another one, since the
+// response under which that upstream ended had outlived them, and without shared ones.
+func (e *suspect) counted() []End {
+	list := make([]End, 0, len(e.ends))
 	for _, end := range e.ends {
-		if end.SentAt > last {
-			n, last = n+1, end.At
+		outlived := func(o End) bool { return end.Progress.clearlyBefore(o.Progress) }
+		if !end.shared && !slices.ContainsFunc(e.ends, outlived) {
+			list = append(list, end)
+		}
+	}
+	return list
+}
+
+// independent returns the number of ends that happened one after the other.
+func (e *suspect) independent() (n int) {
+	var last End
+	for _, end := range e.counted() {
+		if n == 0 || end.follows(last) {
+			n, last = n+1, end
 		}
 	}
 	return n
 }
 
+// follows reports whether the end is evidence beside another one: the request was sent after
+// that, or both upstreams had begun to respond and ended at the same point, but at different
+// times.
+func (e End) follows(o End) bool {
+	return e.SentAt > o.At || e.Stage == AfterEvent && e.At-o.At >= independentGap && e.SentAt-o.SentAt >= independentGap
+}
+
+// markShared marks the ends at a time at which several other upstreams ended without the
+// subject. The caller holds mu.
+func (t *Table) markShared(e *suspect) {
+	for i := range e.ends {
+		e.ends[i].shared = false
+	}
+	if !e.sufficient() || len(e.ends) == maxEnds {
+		return
+	}
+	others := make(map[uint64]time.Duration)
+	for _, o := range t.suspects {
+		for _, end := range o.ends {
+			if o.Service == e.Service {
+				others[end.Upstream] = end.At
+			}
+		}
+	}
+	for _, end := range e.ends {
+		delete(others, end.Upstream)
+	}
+	for i := range e.ends {
+		n := 0
+		for _, at := range others {
+			if (at - e.ends[i].At).Abs() <= sharedWindow {
+				n++
+			}
+		}
+		e.ends[i].shared = n >= sharedEnds
+	}
+}
+
 // sufficient reports whether the evidence suffices for a quarantine.
 func (e *suspect) sufficient() bool {
 	if e.Request {
-		return len(e.ends) >= requestEnds && e.independent() >= independentRequestEnds
+		return len(e.counted()) >= requestEnds && e.independent() >= independentRequestEnds
 	}
 	return e.independent() >= independentEnds
 }
@@ -267,58 +521,110 @@
 	defer t.mu.Unlock()
 	t.completed.rotate(now)
 	t.answered.rotate(now)
+	t.outlived.rotate(now)
 	var changes []Change
-	var due, blamed []*suspect // blamed: due or in quarantine
+	var due, blamed []*suspect // blamed: sufficient evidence, or in quarantine
 	for hash, e := range t.suspects {
 		e.expire(now)
+		if e.since == 0 {
+			t.markShared(e)
+		}
 		switch {
 		case !e.accused() && now-max(e.clearedAt, e.changedAt) > clearedTTL:
 			delete(t.suspects, hash)
 		case e.since > 0:
 			blamed = append(blamed, e)
-		case e.sufficient() && now-e.heardAt >= settle:
-			due, blamed = append(due, e), append(blamed, e)
+		case e.sufficient():
+			blamed = append(blamed, e)
+			if now-e.heardAt >= settle {
+				due = append(due, e)
+			}
 		}
 	}
 	for _, e := range due {
 		if !slices.ContainsFunc(blamed, e.explainedBy) {
+			e.companions = e.inseparable(blamed)
 			e.since, e.ended, e.changedAt = now, len(e.ends), now
-			changes = append(changes, Change{e.Subject, Quarantined, e.ended})
+			changes = append(changes, e.change(Quarantined))
 		}
 	}
 	return changes
 }
 
-// explainedBy reports whether other explains all upstreams that ended under e: they ended under
-// other too, and more did, or other is a request and e a segment of its prompt. Requests with a
-// segment that ends upstreams have other segments too, and others were under way at the same
-// upstreams. Of two requests with the same few ends neither is blamed before the next end.
+// comparison relates the ends under one suspect to those under another.
+type comparison struct {
+	covered bool // the other explains all of them: these upstreams ended under it too
+	more    bool // and others did
+	same    bool // the requests were the same each time
+	later   bool // the other's requests were sent later each time
+}
+
+func (e *suspect) compare(other *suspect) comparison {
+	ends, others := e.counted(), other.counted()
+	c := comparison{covered: true, more: len(others) > len(ends), same: !e.Request || !other.Request, later: true}
+	for _, end := range ends {
+		i := slices.IndexFunc(others, func(o End) bool { return o.Upstream == end.Upstream })
+		if i < 0 {
+			return comparison{}
+		}
+		difference := end.runTime() - others[i].runTime()
+		c.same = c.same && difference.Abs() <= runTimeError
+		c.later = c.later && difference > runTimeError
+	}
+	return c
+}
+
+// explainedBy reports whether other, and not e, is the cause of the ends under e. Requests
+// with a segment that ends upstreams have other segments too, and others were open at the same
+// upstreams. Of two subjects with the same few ends neither is blamed before the next end,
+// unless the one is a request and the other a segment of its prompt.
 func (e *suspect) explainedBy(other *suspect) bool {
-	if e == other || e.Service != other.Service || len(other.ends) < len(e.ends) {
+	if e == other || e.Service != other.Service || len(e.ends) == 0 {
 		return false
 	}
-	if len(other.ends) == len(e.ends) {
-		tied := e.Request && other.Request && len(e.ends) == requestEnds
-		if !tied && (e.Request || !other.Request) {
-			return false
-		}
+	c := e.compare(other)
+	switch {
+	case !c.covered:
+		return false
+	case c.more:
+		return true
+	case c.same:
+		return other.Request
 	}
-	for _, end := range e.ends {
-		if !slices.ContainsFunc(other.ends, func(o End) bool { return o.Upstream == end.Upstream }) {
-			return false
+	return len(e.counted()) == independentEnds || c.later
+}
+
+// inseparable returns the hashes of the other segments that were in the same requests as e
+// each time an upstream ended.
+func (e *suspect) inseparable(blamed []*suspect) (hashes []uint64) {
+	if e.Request {
+		return nil
+	}
+	for _, o := range blamed {
+		if o == e || o.Request || o.Service != e.Service || len(hashes) == maxCompanions {
+			continue
+		}
+		if c := e.compare(o); c.covered && c.same && !c.more {
+			hashes = append(hashes, o.Hash())
 		}
 	}
-	return true
+	slices.Sort(hashes)
+	return hashes
 }
 
 // expire drops old evidence and ends a quarantine whose term has passed.
 func (e *suspect) expire(now time.Duration) {
 	e.ends = slices.DeleteFunc(e.ends, func(o End) bool { return now-o.At > evidenceTTL })
 	if e.since > 0 && now-max(e.since, e.trial.at) > term {
-		e.since, e.trial = 0, trialState{}
+		e.since, e.trial, e.companions = 0, trialState{}, nil
 	}
 }
 
+// appliesTo reports whether a request with the given subjects is refused.
+func (e *suspect) appliesTo(subjects []Subject) bool {
+	return e.since > 0 && !slices.ContainsFunc(e.companions, func(hash uint64) bool { return !containsHash(subjects, hash) })
+}
+
 // Verdict tells why a request must not be sent.
 type Verdict struct {
 	Subject
@@ -340,7 +646,8 @@
 	for _, s := range subjects {
 		e := t.suspects[s.Hash()]
 		switch {
-		case e == nil || e.since == 0:
+		case e == nil || !e.appliesTo(subjects):
+		case v != nil && slices.Contains(e.companions, v.Hash()): // one trial is enough for both
 		case v != nil:
 			v.TrialDue = false
 		default:
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -36,7 +36,7 @@
 // end ends an upstream under a request that was sent 200 ms before.
 func (f *fixture) end(ids ...uint64) (repeated bool) {
 	f.next++
-	repeated, _ = f.Ended(segments(ids...), End{f.next, f.now - 200*time.Millisecond, f.now}, f.now)
+	repeated, _, _ = f.Ended(segments(ids...), End{Upstream: f.next, SentAt: f.now - 200*time.Millisecond, At: f.now, Stage: BeforeEvent}, f.now)
 	return repeated
 }
 
@@ -170,6 +170,7 @@
 	}
 	assert.Assert(t, len(f.suspects) <= maxSuspects)
 	assert.Assert(t, len(f.completed.newer)+len(f.completed.older) <= 2*maxRecent)
+	f.pass(time.Second) // an end at the same time as the others is no evidence
 	for range 3 {
 		f.end(9)
 		f.pass(time.Second)
@@ -185,8 +186,8 @@
 		{Subject: Subject{ID: 9}, Quarantined: true},
 		{Subject: s, Quarantined: true, QuarantineAge: -time.Second},
 		{Subject: s, Cleared: true, ClearedAge: -time.Hour},
-		{Subject: s, Ends: []EndAge{{1, time.Second, 2 * time.Second}}},
-		{Subject: s, Ends: []EndAge{{1, time.Second, -time.Second}}},
+		{Subject: s, Ends: []EndAge{{Upstream: 1, SentAge: time.Second, Age: 2 * time.Second}}},
+		{Subject: s, Ends: []EndAge{{Upstream: 1, SentAge: time.Second, Age: -time.Second}}},
 	} {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			assert.Equal(t, len(f.Merge([]Statement{bad}, f.now)), 0)
@@ -204,7 +205,7 @@
 func (f *fixture) endAll(requests ...[]Subject) {
 	f.next++
 	for _, r := range requests {
-		f.Ended(r, End{f.next, f.now - 200*time.Millisecond, f.now}, f.now)
+		f.Ended(r, End{Upstream: f.next, SentAt: f.now - 200*time.Millisecond, At: f.now, Stage: BeforeEvent}, f.now)
 	}
 }
 
@@ -295,3 +296,117 @@
 		}
 	}
 }
+
+// brokenAt reports the end of one upstream under several requests that had come to a point, each
+// with its own time since it was sent.
+func (f *fixture) brokenAt(at Progress, requests map[time.Duration][]Subject) {
+	f.next++
+	for run, subjects := range requests {
+		p := at
+		p.Time = min(p.Time, run)
+		f.Ended(subjects, End{Upstream: f.next, SentAt: f.now - run, At: f.now, Stage: AfterEvent, Progress: p}, f.now)
+	}
+}
+
+// TestSegmentIsQuarantinedAfterEvents guards against a segment that is never found because its
+// upstreams end after events: the second, the hundredth, or one that comes late.
+func TestSegmentIsQuarantinedAfterEvents(t *testing.T) {
+	for _, at := range []Progress{{10 * time.Millisecond, 1}, {300 * time.Millisecond, 10}, {8 * time.Second, 100}} {
+		f := newFixture()
+		for range independentEnds {
+			f.brokenAt(at, map[time.Duration][]Subject{at.Time + 50*time.Millisecond: segments(1, 9)})
+			f.Completed(segments(1), f.now)
+			f.pass(600 * time.Millisecond)
+		}
+		f.pass(time.Second)
+		assert.Assert(t, f.refuses(1, 9) && !f.refuses(1, 20), "%v", at)
+	}
+}
+
+// TestLongerAnswersVoidEnds guards against blaming a segment whose other responses go on: at
+// this daemon, at another one, or under which an upstream ended at a later point.
+func TestLongerAnswersVoidEnds(t *testing.T) {
+	early, late := Progress{100 * time.Millisecond, 2}, Progress{4 * time.Second, 80}
+	for _, how := range []string{"here", "elsewhere", "ended later"} {
+		f, other := newFixture(), newFixture()
+		other.now = f.now
+		for i := range 2 * independentEnds {
+			p := early
+			if how == "ended later" && i%3 == 2 {
+				p = Progress{time.Duration(i) * 2 * time.Second, 40 * i}
+			}
+			f.brokenAt(p, map[time.Duration][]Subject{p.Time + 20*time.Millisecond: segments(7)})
+			switch how {
+			case "here":
+				f.Progressed(segments(7), late, f.now)
+			case "elsewhere":
+				other.Progressed(segments(7), late, f.now)
+				other.Merge(f.Statements(false, f.now), f.now)
+				f.Merge(other.Statements(false, f.now), f.now)
+			default:
+				continue
+			}
+			assert.Assert(t, len(f.pass(1500*time.Millisecond)) == 0, how)
+		}
+		if how != "ended later" {
+			assert.Assert(t, !f.refuses(7), how)
+		}
+	}
+}
+
+// TestOpenRequestsAreNotBlamed guards against blaming a rare segment whose long answers were open
+// at each upstream that the crashing segment ended.
+func TestOpenRequestsAreNotBlamed(t *testing.T) {
+	f := newFixture()
+	blamed := make(map[uint64]bool)
+	for i := range 5 {
+		p := Progress{30 * time.Millisecond, 1}
+		f.next++
+		f.Ended(segments(9), End{Upstream: f.next, SentAt: f.now - 60*time.Millisecond, At: f.now, Stage: AfterEvent, Progress: p}, f.now)
+		open := time.Duration(3+5*(i%3)) * time.Second
+		f.Ended(segments(5), End{Upstream: f.next, SentAt: f.now - open, At: f.now, Stage: AfterEvent, Progress: Progress{open, 20 * int(open/time.Second)}}, f.now)
+		for _, id := range f.pass(time.Second) {
+			blamed[id] = true
+		}
+	}
+	assert.DeepEqual(t, blamed, map[uint64]bool{9: true})
+	assert.Assert(t, !f.refuses(5))
+}
+
+// TestInseparableSegments guards against refusing a sound segment that comes with the crashing
+// one each time: only requests with both are refused, until one without it ends an upstream.
+func TestInseparableSegments(t *testing.T) {
+	f, other := newFixture(), newFixture()
+	other.now = f.now
+	for range independentEnds {
+		f.end(1, 2, 9)
+		f.Completed(segments(1), f.now)
+		f.pass(time.Second)
+	}
+	f.Completed(segments(1), f.now)
+	other.Merge(f.Statements(true, f.now), f.now)
+	for _, x := range []*fixture{f, other} {
+		assert.Assert(t, x.refuses(1, 2, 9), "both")
+		assert.Assert(t, !x.refuses(1, 2) && !x.refuses(1, 9), "one of them")
+	}
+	f.end(1, 3, 9)
+	f.pass(200 * time.Millisecond)
+	other.Merge(f.Statements(false, f.now), f.now)
+	for _, x := range []*fixture{f, other} {
+		assert.Assert(t, x.refuses(1, 9) && !x.refuses(1, 2), "it came without the other")
+	}
+}
+
+// TestUpstreamsThatEndTogetherAreNoEvidence ends a third of all upstreams at once, again and
+// again, under long answers with a rare segment that had all begun at the time before.
+func TestUpstreamsThatEndTogetherAreNoEvidence(t *testing.T) {
+	f := newFixture()
+	for range 6 {
+		p := Progress{6 * time.Second, 120}
+		for i := range uint64(8) {
+			f.brokenAt(p, map[time.Duration][]Subject{p.Time: segments(100 + i)})
+		}
+		f.brokenAt(p, map[time.Duration][]Subject{p.Time: segments(5)})
+		assert.Assert(t, len(f.pass(6*time.Second)) == 0)
+	}
+}
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -52,7 +52,7 @@
 	}
 	s.confirmed = true
 	e.ended++
-	return []Change{{e.Subject, Confirmed, e.ended}}
+	return []Change{e.change(Confirmed)}
 }
 
 // StartTrial reports whether a trial of a segment, given by its hash, may start, and counts
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -80,6 +80,7 @@
 	sharedFault   *SharedFault
 	crashSegment  string    // prompt segment that ends the upstream; empty for none
 	crashBody     string    // body of a request that ends the upstream; empty for none
+	crashPoint    int       // see AfterHead
 	endedAt       time.Time // zero unless it has ended
 	onEnd         func(u *Upstream)
 }
