Placer: a pause that an upstream asked for outlives its entry

When all upstreams paused, a request that had tried all of them was told to come back in 0.1 s.

Cause: the pause was a field of place.upstreamState, which Update drops with the entry. The same incarnation then began with a new state. Ruled out: another incarnation (the log has "upstream gone" and "upstream known" with the same entry fields and no "started again"), and a second refusal (there is none).

Pauses are now kept by incarnation beside the states of upstreams in the roster, until they end. The time until the first pause ends counts also upstreams that the request has tried.

--- a/internal/proxy/task.go
+++ b/internal/proxy/task.go
@@ -357,7 +357,7 @@
 			}
 		}
 	case unsent, refused, misplaced, throttled:
-		reply.status, reply.retryAfter = fasthttp.StatusServiceUnavailable, shortRetryAfter
+		reply.status, reply.retryAfter = fasthttp.StatusServiceUnavailable, max(shortRetryAfter, t.Placer.UntilResume(t.service.Name, boottime.Now()))
 	case quarantined:
 		reply.status = fasthttp.StatusUnprocessableEntity
 	case expired:
--- a/internal/routing/place/affinity.go
+++ b/internal/routing/place/affinity.go
@@ -142,6 +142,7 @@
 	for _, s := range p.states {
 		s.cache.expire(now)
 	}
+	p.pauses.prune(now)
 }
 
 // SetDaemons sets the number of daemons that place requests, including this one, and
@@ -201,5 +202,5 @@
 // accepts reports whether an upstream may be picked for a request. The caller holds mu.
 func (p *Placer) accepts(u *roster.Upstream, q Query, now time.Duration) bool {
 	s := p.states[u.Key()]
-	return s != nil && !q.Exclude[u.ID] && !s.leaving && now >= s.pausedUntil
+	return s != nil && !q.Exclude[u.ID] && !s.leaving && p.pauses.until(u.Key(), now) == 0
 }
--- a/internal/routing/place/outcome.go
+++ b/internal/routing/place/outcome.go
@@ -70,16 +70,11 @@
 }
 
 // Pause stops placing requests at an upstream for d, as the upstream asked this daemon
-// or as the rate that it names requires.
+// or as the rate that it names requires. It binds also while the upstream has no entry.
 func (p *Placer) Pause(k roster.Key, d, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.states[k]; s != nil {
-		if now >= s.pausedUntil {
-			s.pausedSince = now
-		}
-		s.pausedUntil = max(s.pausedUntil, now+d)
-	}
+	p.pauses.add(k, d, now, func(k roster.Key) bool { return p.states[k] != nil })
 }
 
 // PauseEnforced reports whether sending a request to an upstream would violate its
@@ -87,8 +82,7 @@
 func (p *Placer) PauseEnforced(k roster.Key, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.states[k]
-	return s != nil && now < s.pausedUntil && now-s.pausedSince > pauseGrace
+	return p.pauses.until(k, now) > 0 && now-p.pauses[k].since > pauseGrace
 }
 
 // Accepts reports whether an upstream picked earlier still accepts requests from this
@@ -97,7 +91,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.states[k]
-	return s != nil && !s.leaving && !s.upstream.Leaving && now >= s.pausedUntil
+	return s != nil && !s.leaving && !s.upstream.Leaving && p.pauses.until(k, now) == 0
 }
 
 // SetReport stores the load that an upstream reported.
--- a/internal/routing/place/place.go
+++ b/internal/routing/place/place.go
@@ -27,7 +27,7 @@
 // will accept requests again.
 type NoUpstreamError struct {
 	Service string
-	RetryIn time.Duration // time until the first pause ends; 0 if unknown
+	RetryIn time.Duration // time until the first pause ends if all upstreams pause; otherwise 0
 }
 
 // Error implements error.
@@ -145,8 +145,6 @@
 	longestExpected time.Duration // longest expected time among these requests
 	cache           *prefixCache
 	leaving         bool          // it announced its shutdown in a response; its entry in the store may lag
-	pausedUntil     time.Duration // end of the pause that it requested from this daemon
-	pausedSince     time.Duration // start of that pause
 	joinedLate      bool          // it appeared after other upstreams, with an empty cache
 	firstConsidered time.Duration // first time it was evaluated; used only with joinedLate
 }
@@ -160,6 +158,7 @@
 	roster     *roster.Roster
 	states     map[roster.Key]*upstreamState
 	byHash     map[uint32]*upstreamState // by HashID
+	pauses     pauses
 	sources    map[string]*loadSource    // by daemon
 	groupLoads *loadTable                // loads of this daemon and its group
 	allLoads   *loadTable                // loads of all daemons
@@ -181,6 +180,7 @@
 		roster:     roster.New(nil),
 		states:     make(map[roster.Key]*upstreamState),
 		byHash:     make(map[uint32]*upstreamState),
+		pauses:     make(pauses),
 		sources:    make(map[string]*loadSource),
 		groupLoads: newLoadTable(),
 		allLoads:   newLoadTable(),
@@ -194,8 +194,8 @@
 	}
 }
 
-// Update replaces the roster and drops the state of upstreams that are gone or have
-// restarted. cacheTokens returns the cache size of a service's upstreams, 0 if unknown.
+// Update replaces the roster and drops the state, other than pauses, of upstreams that are
+// gone or have restarted. cacheTokens returns the cache size of a service's upstreams, 0 if unknown.
 func (p *Placer) Update(r *roster.Roster, cacheTokens func(service string) int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -235,7 +235,7 @@
 		}
 	}
 	if best.Upstream == nil {
-		return best, &NoUpstreamError{q.Service, p.untilResume(list, q, now)}
+		return best, &NoUpstreamError{q.Service, p.untilResume(q.Service, now)}
 	}
 	best.Candidates = accepting
 	s := p.states[best.Upstream.Key()]
@@ -285,17 +285,27 @@
 
 func fromMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// untilResume returns the time until the first paused upstream accepts requests again,
-// 0 if none is paused. The caller holds mu.
-func (p *Placer) untilResume(list []*roster.Upstream, q Query, now time.Duration) time.Duration {
+// UntilResume returns the time until the first upstream of a service accepts requests again
+// if all that are not leaving pause, and 0 otherwise.
+func (p *Placer) UntilResume(service string, now time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.untilResume(service, now)
+}
+
+// untilResume is UntilResume; the caller holds mu.
+func (p *Placer) untilResume(service string, now time.Duration) time.Duration {
 	earliest := time.Duration(0)
-	for _, u := range list {
-		s := p.states[u.Key()]
-		if s == nil || q.Exclude[u.ID] || s.leaving || s.pausedUntil <= now {
+	for _, u := range p.roster.Usable(service) {
+		if s := p.states[u.Key()]; s == nil || s.leaving {
 			continue
 		}
-		if earliest == 0 || s.pausedUntil-now < earliest {
-			earliest = s.pausedUntil - now
+		until := p.pauses.until(u.Key(), now)
+		if until == 0 {
+			return 0
+		}
+		if earliest == 0 || until-now < earliest {
+			earliest = until - now
 		}
 	}
 	return earliest
--- a/internal/routing/place/place_test.go
+++ b/internal/routing/place/place_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/lagoonmux/lagoonmux/internal/roster"
@@ -405,3 +407,60 @@
 	assert.Equal(t, c.uncached([]Segment{{0, 100}, {9, 100}}, 0, 9*time.Second), 200, "segments after an uncached one are not reused")
 	assert.Equal(t, c.uncached([]Segment{{9, 100}}, 0, 9*time.Second+cacheTTL), 100)
 }
+
+// pausingRoster returns a roster of one upstream with an incarnation.
+func pausingRoster(incarnation int64) *roster.Roster {
+	return roster.New([]*roster.Upstream{{ID: "u", Incarnation: incarnation, Service: "s", Slots: 4}})
+}
+
+func noCache(string) int { return 0 }
+
+// TestPauseOutlivesRosterEntry guards against a pause that is dropped with the upstream's entry.
+func TestPauseOutlivesRosterEntry(t *testing.T) {
+	p, now, k := New("z"), time.Hour, roster.Key{ID: "u", Incarnation: 1}
+	p.Update(pausingRoster(1), noCache)
+	p.Pause(k, 20*time.Second, now)
+	p.Update(roster.New(nil), noCache)
+	p.Pause(k, 25*time.Second, now+time.Second) // a refusal that was under way
+	p.Update(pausingRoster(1), noCache)
+	_, err := p.Pick(Query{Service: "s"}, now+25*time.Second)
+	assert.ErrorIs(t, err, ErrNoUpstream)
+	assert.Assert(t, !p.Accepts(k, now+25*time.Second) && p.PauseEnforced(k, now+25*time.Second))
+	assert.Equal(t, p.UntilResume("s", now+25*time.Second), time.Second)
+	assert.Assert(t, p.Accepts(k, now+26*time.Second))
+	p.Update(pausingRoster(2), noCache)
+	_, err = p.Pick(Query{Service: "s"}, now+5*time.Second)
+	assert.NilError(t, err, "another incarnation")
+}
+
+// TestPausesAreBounded lets upstreams that never return ask for pauses without end, beside one
+// in the roster and one that returns.
+func TestPausesAreBounded(t *testing.T) {
+	p, now, k := New("z"), time.Hour, roster.Key{ID: "u", Incarnation: 1}
+	p.Update(pausingRoster(1), noCache)
+	p.Pause(k, math.MaxInt64, now)
+	back := roster.Key{ID: "back", Incarnation: 1}
+	p.Pause(back, 20*time.Second, now)
+	for i := range 3 * maxPauses {
+		p.Pause(roster.Key{ID: fmt.Sprint(i)}, math.MaxInt64, now)
+	}
+	assert.Assert(t, len(p.pauses) <= maxPauses)
+	assert.Assert(t, p.PauseEnforced(k, now+time.Minute) && p.PauseEnforced(back, now+10*time.Second))
+	for i := range 2 * maxPauses {
+		p.Pause(roster.Key{ID: fmt.Sprint("short", i)}, time.Second, now+time.Duration(i)*time.Second)
+	}
+	assert.Assert(t, len(p.pauses) <= maxPauses)
+}
+
+// TestUntilResumeCountsTriedUpstreams checks that a request which all upstreams have refused is
+// told when the first pause ends, and that one which may return at once is told so.
+func TestUntilResumeCountsTriedUpstreams(t *testing.T) {
+	p, now := New("z"), time.Hour
+	p.Update(roster.New([]*roster.Upstream{{ID: "a", Service: "s", Slots: 4}, {ID: "b", Service: "s", Slots: 4}}), noCache)
+	p.Pause(roster.Key{ID: "a"}, time.Minute, now)
+	assert.Equal(t, p.UntilResume("s", now), time.Duration(0))
+	p.Pause(roster.Key{ID: "b"}, 2*time.Minute, now)
+	_, err := p.Pick(Query{Service: "s", Exclude: map[string]bool{"a": true, "b": true}}, now)
+	var none *NoUpstreamError
+	assert.Assert(t, errors.As(err, &none) && none.RetryIn == time.Minute)
+}
