--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -243,7 +243,7 @@
 	case info.Sealed && info.ID == a.req.ID && info.IgnoredField == "":
 		a.Throttle.NoRateNamed(u, a.sentAt)
 	}
-	if info.IgnoredField != "" {
+	if info.IgnoredField != "" && a.ignoredFields.isNew(u.Key(), info.IgnoredField) {
 		a.Log.Warn("field of an answer ignored", "upstream", u.ID, "field", info.IgnoredField, "id", a.req.ID)
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -179,6 +179,8 @@
 	active atomic.Pointer[catalog.Config] // nil before the first SetCatalog
 	drain  atomic.Pointer[Drain]          // nil unless the daemon is stopping
 
+	ignoredFields ignoredFields
+
 	drainEnded context.Context // ends at the end of a drain
 	endDrain   context.CancelFunc
 }
