Roster: an announcement in a response that an upstream leaves outlives its entry

What upstreams saw: one that had announced in a response that it leaves got requests again once its entry had lapsed and returned, and also if the entry had lapsed when the response arrived.

--- a/internal/node/departures.go
+++ b/internal/node/departures.go
@@ -16,7 +16,7 @@
 type departures map[roster.Key]departure
 
 type departure struct {
-	leaving   bool          // announced in a row
+	leaving   bool          // announced in a row or in a response
 	removed   int64         // a version of the era of the removal; 0 if it was not removed
 	returned  int64         // version of the row with which it returned in a later era; 0 if it did not
 	updatedAt time.Duration // boot time
@@ -47,6 +47,13 @@
 	return true
 }
 
+// announced records that an upstream has announced in a response that it leaves.
+func (m departures) announced(k roster.Key, now time.Duration) {
+	d := m[k]
+	d.leaving, d.updatedAt = true, now
+	m[k] = d
+}
+
 // gone records that the row of an upstream was removed; newest is the newest version in the
 // table since.
 func (m departures) gone(u *roster.Upstream, newest int64, now time.Duration) {
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -44,11 +44,12 @@
 }
 
 // markLeaving marks an upstream that announced in a response that it leaves; reportedBy
-// is the name of the daemon that received the response. Upstreams that are not in the
-// roster are ignored: they are gone already, or their row will say that they leave.
+// is the name of the daemon that received the response. It binds also an upstream whose row
+// is missing, since the row may return without saying so.
 func (b *rosterBuilder) markLeaving(k roster.Key, reportedBy string) {
 	b.mu.Lock()
 	u := b.current.Get(k.ID)
+	b.departed.announced(k, boottime.Now())
 	changed := u != nil && u.Key() == k && !u.Leaving && !b.reportedLeaving[k]
 	if changed {
 		b.reportedLeaving[k] = true
