Throttle: the limit of an upstream is kept for ten minutes without its entry

What upstreams would see: one that names a rate and cannot reach the store for more than 30 s gets requests without a limit from all daemons once its entry is back.

Cause: Limits.Update dropped limits of upstreams outside the roster 30 s after their last statement, the time for which the end of a limit is remembered. These are two times now. Test: TestLimitOutlivesEntry, failed before.

--- a/internal/throttle/limits.go
+++ b/internal/throttle/limits.go
@@ -28,9 +28,11 @@
 	// minRate replaces lower rates. An upstream that names 0 must get a request now and
 	// then, since only a response can tell that its limit has ended.
 	minRate = 0.2 // requests per second
-	// retention is how long the end of a limit is remembered, and a limit of an upstream
-	// that is not in the roster.
-	retention = 30 * time.Second
+	// endRetention is how long the end of a limit is remembered.
+	endRetention = 30 * time.Second
+	// absentRetention is how long the limit of an upstream is kept that is not in the roster.
+	// Its entry may have lapsed because it cannot reach the store.
+	absentRetention = 10 * time.Minute
 	// maxTransit is how much older a statement from another daemon may be than its age
 	// says, because of the time that the message took.
 	maxTransit = time.Second
@@ -166,7 +168,7 @@
 			limit.Rate = clampRate(s.Rate)
 		}
 		switch {
-		case s.Age < 0 || s.Age > retention && limit.Rate == 0:
+		case s.Age < 0 || s.Age > endRetention && limit.Rate == 0:
 			continue
 		case !known && limit.Rate == 0:
 			continue // the end of a limit that was never known here
@@ -201,7 +203,7 @@
 }
 
 // Update adds the keys of upstreams that only other daemons knew, and drops limits that
-// ended and those of upstreams that are not in the roster, after the retention time.
+// ended and those of upstreams that are not in the roster, each after its retention.
 func (l *Limits) Update(r *roster.Roster, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -218,6 +220,7 @@
 		}
 	}
 	maps.DeleteFunc(l.list, func(hash uint64, limit Limit) bool {
-		return (limit.Rate == 0 || !present[hash]) && now-limit.At > retention
+		age := now - limit.At
+		return limit.Rate == 0 && age > endRetention || !present[hash] && age > absentRetention
 	})
 }
--- a/internal/throttle/limits_test.go
+++ b/internal/throttle/limits_test.go
@@ -56,6 +56,21 @@
 	assert.Assert(t, limited)
 }
 
+// TestLimitOutlivesEntry guards against a limit that is forgotten when the upstream's entry is
+// away for minutes: all daemons would send there without a limit once it is back.
+func TestLimitOutlivesEntry(t *testing.T) {
+	l := NewLimits()
+	l.Named(up, 2, time.Second)
+	for at := 10 * time.Second; at <= 5*time.Minute; at += 10 * time.Second {
+		l.Update(roster.New(nil), at)
+	}
+	l.Update(roster.New([]*roster.Upstream{{ID: up.ID, Incarnation: up.Incarnation}}), 5*time.Minute)
+	rate, limited := l.Rate(Hash(up))
+	assert.Assert(t, limited && rate == 2)
+	l.Update(roster.New(nil), 2*absentRetention)
+	assert.Equal(t, len(l.All()), 0, "it does not return")
+}
+
 // TestMergeOrdersStatements checks what a statement from another daemon replaces. The end
 // of a limit must be newer by more than the time that a message may take.
 func TestMergeOrdersStatements(t *testing.T) {
