Quota: a customer that returns to the configuration has no new burst

What callers saw in the test: a customer that the configuration drops and brings back again spends its whole burst on each daemon each time: 9,000 in 10 s with a burst of 1,000 and 10 a second on two daemons.

Cause: SetLimits deleted the bucket with the customer, and made a full one that counts what is spent from 0 when it came back. Buckets are now kept for ten minutes, in which they fill by the rate.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -112,8 +112,13 @@
 	meanCost   float64            // of all requests, refused ones included; moving average
 	decayedAt  time.Duration      // boot time of the last update of demand
 	peerDemand map[string]float64 // by daemon name
+	absentAt   time.Duration      // boot time since which the configuration lacks the customer; 0 if it does not
 }
 
+// absentRetention is how long the bucket of a customer is kept that the configuration lacks. A
+// new bucket would be full, and count what is spent from 0.
+const absentRetention = 10 * time.Minute
+
 // peer holds the last report of another daemon.
 type peer struct {
 	incarnation int64
@@ -159,11 +164,17 @@
 			lim.buckets[name] = b
 		}
 		lim.refill(b, now)
-		b.limit = limit
+		b.limit, b.absentAt = limit, 0
 		b.level = math.Min(b.level, limit.Burst)
 	}
-	for name := range lim.buckets {
-		if _, ok := limits[name]; !ok {
+	for name, b := range lim.buckets {
+		if _, ok := limits[name]; ok {
+			continue
+		}
+		if b.absentAt == 0 {
+			b.absentAt = now
+		}
+		if now-b.absentAt > absentRetention {
 			delete(lim.buckets, name)
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -379,3 +379,33 @@
 		}
 	}
 }
+
+// TestReturningCustomerHasNoNewBurst guards against a customer that spends its burst again each
+// time the configuration drops it and brings it back.
+func TestReturningCustomerHasNoNewBurst(t *testing.T) {
+	f := newFleet(2, Limit{Rate: 10, Burst: 1000}, 1)
+	f.now += time.Minute // until the buckets are full
+	spent := 0
+	for range 5 {
+		for i, lim := range f.limiters {
+			for lim.Take(customer, 100, f.now).Admit && spent < 100_000 {
+				spent += 100
+			}
+			other := f.limiters[1-i]
+			other.Merge(fmt.Sprint(i), f.incarnations[i], lim.LocalSpends(f.now), f.now)
+		}
+		for _, config := range []map[string]Limit{{}, {customer: f.limit}} {
+			f.now += time.Second
+			for _, lim := range f.limiters {
+				lim.SetLimits(config, f.now)
+			}
+		}
+	}
+	t.Logf("spent %d in 10 s", spent)
+	assert.Assert(t, spent <= 2*(1000+10*10)+400, "%d", spent)
+	for _, lim := range f.limiters {
+		lim.SetLimits(nil, f.now)
+		lim.SetLimits(nil, f.now+absentRetention+time.Second)
+		assert.Equal(t, len(lim.buckets), 0, "it does not return")
+	}
+}
