--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -45,6 +45,8 @@
 	EndlessBody             // sends a body (for streams: one event) that never ends
 	EndlessChunks           // sends such a body in chunks
 	EndlessInterim          // sends 102 responses without end
+	EndlessLength           // sends such a body with a length that is never reached
+	EndlessEvent            // sends a stream in chunks, after one event a second one that never ends
 )
 
 // Run records a request that an upstream started to run.
@@ -304,6 +306,12 @@
 		return head + "\r\n", filler, true
 	case EndlessChunks:
 		return chunked, "1000\r\n" + filler + "\r\n", true
+	case EndlessLength:
+		return head + "Content-Length: 100000000000000\r\n\r\n", filler, true
+	case EndlessEvent:
+		event := Event(run.ID, run.LastEventID+1)
+		return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + chunked[len("HTTP/1.1 200 OK\r\n"):] +
+			fmt.Sprintf("%x\r\n%s\r\n", len(event), event), "1000\r\n" + filler + "\r\n", true
 	case EndlessInterim:
 		return "", "HTTP/1.1 102 Processing\r\n\r\n", true
 	}
