Quarantine: ends that others explain together, and long answers beside other ends

Cause: explainedBy looked at one other subject at a time; and three of many ends can agree by chance where responses are open for long. A subject is now also explained by several that have more ends, and where responses had gone on for more than progressSlack half of the ends in the meantime must be under it.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -475,35 +475,55 @@
 	return e.SentAt > o.At || e.Stage == AfterEvent && e.At-o.At >= independentGap && e.SentAt-o.SentAt >= independentGap
 }
 
-// markShared marks the ends at a time at which several other upstreams ended without the
-// subject. The caller holds mu.
-func (t *Table) markShared(e *suspect) {
-	for i := range e.ends {
-		e.ends[i].shared = false
-	}
-	if !e.sufficient() || len(e.ends) == maxEnds {
-		return
-	}
+// otherEnds returns the times at which upstreams of the same service ended without the
+// subject, as far as they are known. The caller holds mu.
+func (t *Table) otherEnds(e *suspect) map[uint64]time.Duration {
 	others := make(map[uint64]time.Duration)
 	for _, o := range t.suspects {
+		if o.Service != e.Service {
+			continue
+		}
 		for _, end := range o.ends {
-			if o.Service == e.Service {
-				others[end.Upstream] = end.At
-			}
+			others[end.Upstream] = end.At
 		}
 	}
 	for _, end := range e.ends {
 		delete(others, end.Upstream)
 	}
+	return others
+}
+
+// due reports whether the evidence suffices also in view of the upstreams that ended without
+// the subject. Their ends at the same time void an end. Responses that had gone on for longer
+// than progressSlack may have been open by chance, so that half of the ends in the meantime must
+// be under the subject. The caller holds mu.
+func (t *Table) due(e *suspect) bool {
 	for i := range e.ends {
-		n := 0
-		for _, at := range others {
-			if (at - e.ends[i].At).Abs() <= sharedWindow {
-				n++
-			}
+		e.ends[i].shared = false
+	}
+	if !e.sufficient() || len(e.ends) == maxEnds {
+		return e.sufficient()
+	}
+	others := t.otherEnds(e)
+	for i := range e.ends {
+		e.ends[i].shared = countWithin(others, e.ends[i].At-sharedWindow, e.ends[i].At+sharedWindow) >= sharedEnds
+	}
+	if !e.sufficient() {
+		return false
+	}
+	counted := e.counted()
+	late := slices.ContainsFunc(counted, func(end End) bool { return end.Progress.Time > progressSlack })
+	return !late || countWithin(others, counted[0].At, counted[len(counted)-1].At) <= len(counted)
+}
+
+// countWithin returns how many of the ends are between two times.
+func countWithin(ends map[uint64]time.Duration, from, to time.Duration) (n int) {
+	for _, at := range ends {
+		if from <= at && at <= to {
+			n++
 		}
-		e.ends[i].shared = n >= sharedEnds
 	}
+	return n
 }
 
 // sufficient reports whether the evidence suffices for a quarantine.
@@ -526,15 +546,12 @@
 	var due, blamed []*suspect // blamed: sufficient evidence, or in quarantine
 	for hash, e := range t.suspects {
 		e.expire(now)
-		if e.since == 0 {
-			t.markShared(e)
-		}
 		switch {
 		case !e.accused() && now-max(e.clearedAt, e.changedAt) > clearedTTL:
 			delete(t.suspects, hash)
 		case e.since > 0:
 			blamed = append(blamed, e)
-		case e.sufficient():
+		case t.due(e):
 			blamed = append(blamed, e)
 			if now-e.heardAt >= settle {
 				due = append(due, e)
@@ -542,7 +559,7 @@
 		}
 	}
 	for _, e := range due {
-		if !slices.ContainsFunc(blamed, e.explainedBy) {
+		if !slices.ContainsFunc(blamed, e.explainedBy) && !e.explainedTogether(blamed) {
 			e.companions = e.inseparable(blamed)
 			e.since, e.ended, e.changedAt = now, len(e.ends), now
 			changes = append(changes, e.change(Quarantined))
@@ -594,6 +611,32 @@
 	return len(e.counted()) == independentEnds || c.later
 }
 
+// explainedTogether reports whether each end under e is also one under another subject with
+// more ends: a sound segment may have been open at upstreams that several others ended. Of
+// subjects with the same few ends none is blamed before the next end.
+func (e *suspect) explainedTogether(blamed []*suspect) bool {
+	ends := e.counted()
+	least := len(ends) + 1
+	if len(ends) == independentEnds {
+		least = len(ends)
+	}
+	var better []End
+	for _, o := range blamed {
+		if o == e || o.Service != e.Service {
+			continue
+		}
+		if c := e.compare(o); c.covered && c.same {
+			continue
+		}
+		if others := o.counted(); len(others) >= least {
+			better = append(better, others...)
+		}
+	}
+	return !slices.ContainsFunc(ends, func(end End) bool {
+		return !slices.ContainsFunc(better, func(o End) bool { return o.Upstream == end.Upstream })
+	})
+}
+
 // inseparable returns the hashes of the other segments that were in the same requests as e
 // each time an upstream ended.
 func (e *suspect) inseparable(blamed []*suspect) (hashes []uint64) {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -373,6 +373,21 @@
 	assert.Assert(t, !f.refuses(5))
 }
 
+// TestSegmentOfTwoCrashingOnesIsNotBlamed guards against blaming a sound segment that was in
+// requests with one or the other of two crashing ones.
+func TestSegmentOfTwoCrashingOnesIsNotBlamed(t *testing.T) {
+	f := newFixture()
+	blamed := make(map[uint64]bool)
+	for _, ids := range [][]uint64{{8}, {9}, {8, 5}, {9, 5}, {8}, {9, 5}, {8}, {9}} {
+		f.end(ids...)
+		for _, id := range f.pass(400 * time.Millisecond) {
+			blamed[id] = true
+		}
+	}
+	f.pass(2 * time.Second)
+	assert.Assert(t, f.refuses(8) && f.refuses(9) && !f.refuses(5) && !blamed[5])
+}
+
 // TestInseparableSegments guards against refusing a sound segment that comes with the crashing
 // one each time: only requests with both are refused, until one without it ends an upstream.
 func TestInseparableSegments(t *testing.T) {
