Quarantine: a State carries at most 128 suspects, those with most ends first

Every request that is open at an upstream that ends is a suspect now, and most are unique. The bound is 11 KB, the goal for a daemon's bytes a second; the others follow in turns. What has most evidence is told in each State.

Test: TestEvidenceIsSmallInStates.

--- a/internal/mesh/quarantine_test.go
+++ b/internal/mesh/quarantine_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/lagoonmux/lagoonmux/internal/mesh/meshpb"
@@ -319,3 +320,34 @@
 		c.assertHeld()
 	}
 }
+
+// TestEvidenceIsSmallInStates lets upstreams end under so many requests that the table is full.
+// A State must have at most a second's share of what a daemon may send, 11 KB, and what has
+// most evidence first.
+func TestEvidenceIsSmallInStates(t *testing.T) {
+	table, now := quarantine.NewTable(), time.Hour
+	end := func(upstream, segment uint64) {
+		table.Ended([]quarantine.Subject{{Service: crashService, ID: segment}}, quarantine.End{Upstream: upstream, SentAt: now - 3*time.Second, At: now,
+			Stage: quarantine.AfterEvent, Progress: quarantine.Progress{Time: 2 * time.Second, Events: 60}}, now)
+	}
+	end(1<<60+1, crashSegment)
+	end(1<<60+2, crashSegment)
+	for i := range uint64(600) {
+		end(i<<40+1, i<<40)
+	}
+	told := make(map[uint64]bool)
+	for range 10 {
+		now += 300 * time.Millisecond
+		list := table.Statements(false, now)
+		size := proto.Size(&meshpb.State{Suspects: EncodeSuspects(list)})
+		assert.Assert(t, size <= 11<<10, "%d bytes", size)
+		strongest := false
+		for _, s := range list {
+			told[s.ID] = true
+			strongest = strongest || s.ID == crashSegment
+		}
+		assert.Assert(t, strongest)
+	}
+	t.Logf("%d suspects told in 3 s", len(told))
+	assert.Assert(t, len(told) > 256)
+}
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -1,8 +1,12 @@
 package quarantine
 
 import (
+	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -12,6 +16,9 @@
 	// Besides, each suspect is in the messages of one of resendTurns turns of resendTurn.
 	resendTurn  = 500 * time.Millisecond
 	resendTurns = 8
+	// maxStatements bounds the statements of a message that does not tell all. An upstream
+	// that ends accuses all requests that were open there, most of them unique.
+	maxStatements = 128
 )
 
 // Statement is what a daemon tells others about a segment. Ages are relative to the time of
@@ -47,16 +54,39 @@
 func (t *Table) Statements(all bool, now time.Duration) []Statement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []Statement
 	turn := uint64(now / resendTurn)
+	var told []*suspect
 	for hash, e := range t.suspects {
 		if all || now-e.changedAt <= newsTime || (hash+turn)%resendTurns == 0 {
-			list = append(list, e.statement(now))
+			told = append(told, e)
 		}
 	}
+	if !all && len(told) > maxStatements {
+		slices.SortFunc(told, func(a, b *suspect) int {
+			return cmp.Or(b.weight()-a.weight(), cmp.Compare(a.order(turn), b.order(turn)))
+		})
+		told = told[:maxStatements]
+	}
+	list := make([]Statement, len(told))
+	for i, e := range told {
+		list[i] = e.statement(now)
+	}
 	return list
 }
 
+// weight orders suspects by what other daemons should learn first.
+func (e *suspect) weight() int {
+	if e.since > 0 {
+		return maxEnds + 1
+	}
+	return len(e.ends)
+}
+
+// order shuffles suspects of the same weight, in another way each turn.
+func (e *suspect) order(turn uint64) uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(nil, e.Hash()^turn))
+}
+
 func (e *suspect) statement(now time.Duration) Statement {
 	s := Statement{Subject: e.Subject, Ended: e.ended, Trials: e.trial.count, Confirmed: e.trial.confirmed, Software: e.trial.software}
 	if e.clearedAt > 0 {
