--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -57,35 +57,8 @@
 	maxCompanions = 16
 	// maxTransit is how much two daemons' times of the same moment may differ.
 	maxTransit = 500 * time.Millisecond
-	// One point of a response lies clearly before another if it is more than progressSlack
-	// and more than eventSlack events before it: upstreams differ in speed, and what ends
-	// them may do so after the same time or after the same event.
-	progressSlack = 500 * time.Millisecond
-	eventSlack    = 2
-	// independentGap is the time between two requests, and between the ends under them, from
-	// which on responses that had begun count one by one.
-	independentGap = 300 * time.Millisecond
-	// An end is no evidence if sharedEnds other upstreams ended within sharedWindow of it
-	// without the subject.
-	sharedEnds   = 4
-	sharedWindow = 200 * time.Millisecond
-	// runTimeError bounds the error of the difference of two ages from a message.
-	runTimeError = 2 * time.Millisecond
 )
 
-// Stage is how far a response had come when its connection ended.
-type Stage int
-
-// Stages of a response.
-const (
-	BeforeHead  Stage = iota // no complete head arrived
-	BeforeEvent              // the head arrived, but neither an event nor a complete body
-	AfterEvent               // at least one event arrived
-)
-
-// String returns the name used in logs and metrics.
-func (s Stage) String() string { return [...]string{"before_head", "before_event", "after_event"}[s] }
-
 // Subject is what may end upstreams: a prompt segment of the requests for one service, or a
 // request for it.
 type Subject struct {
@@ -113,31 +86,6 @@
 	return append(list, Subject{Service: service, ID: content, Request: true})
 }
 
-// End is the end of an upstream under a request. Times are boot times.
-type End struct {
-	Upstream uint64        // hash of its ID and incarnation
-	SentAt   time.Duration // when the request was sent
-	At       time.Duration
-	Stage    Stage
-	Progress Progress
-
-	shared bool // something else ended several upstreams at the time
-}
-
-// runTime returns the time from sending the request to the end.
-func (e End) runTime() time.Duration { return e.At - e.SentAt }
-
-// Progress is how far a response has come.
-type Progress struct {
-	Time   time.Duration // since the first event; 0 if none arrived
-	Events int
-}
-
-// clearlyBefore reports whether p is an earlier point of a response than o.
-func (p Progress) clearlyBefore(o Progress) bool {
-	return o.Time > p.Time+progressSlack && o.Events > p.Events+eventSlack
-}
-
 // suspect is a subject with evidence against it, or one that was cleared recently.
 type suspect struct {
 	Subject
@@ -233,24 +181,6 @@
 	return changes
 }
 
-// Effect is what the end of an upstream means for one subject of a request.
-type Effect struct {
-	Subject
-	Kind EffectKind
-}
-
-// EffectKind is the kind of an Effect.
-type EffectKind int
-
-// Kinds of effects.
-const (
-	Evidence    EffectKind = iota // it counts against the subject
-	WasAnswered                   // it is void: a request with the subject was answered
-	WasOutlived                   // it is void: a response with the subject came further
-	WasKnown                      // the end is known from another request with the subject
-	Dropped                       // there is no room for it, or it is too old
-)
-
 // Accused reports whether there is evidence against one of the subjects.
 func (t *Table) Accused(subjects []Subject) bool {
 	t.mu.Lock()
@@ -350,86 +280,6 @@
 	return least != nil
 }
 
-// effect returns what an end means for the subject.
-func (e *suspect) effect(end End, now time.Duration) EffectKind {
-	switch {
-	case end.At <= e.clearedAt:
-		return WasAnswered
-	case e.survival.voids(end):
-		return WasOutlived
-	case now-end.At > evidenceTTL:
-		return Dropped
-	}
-	return Evidence
-}
-
-// add adds an end unless it is known or void. Of several requests that were open at the
-// upstream, the one that had come furthest counts.
-func (e *suspect) add(end End, now time.Duration) (EffectKind, []Change) {
-	if kind := e.effect(end, now); kind != Evidence {
-		return kind, nil
-	}
-	i := slices.IndexFunc(e.ends, func(o End) bool { return o.Upstream == end.Upstream })
-	switch {
-	case i >= 0 && end.Progress.Time <= e.ends[i].Progress.Time:
-		return WasKnown, nil
-	case i >= 0:
-		e.ends[i] = end
-	case len(e.ends) == maxEnds:
-		return Dropped, nil
-	}
-	first := !e.accused()
-	if first {
-		e.heardAt = now
-	}
-	if i < 0 {
-		e.ends = append(e.ends, end)
-	}
-	slices.SortFunc(e.ends, func(a, b End) int { return int(a.At - b.At) })
-	e.changedAt = now
-	changes := e.trial.recordEnd(e, end)
-	if first {
-		changes = append(changes, e.change(Suspected))
-	}
-	return Evidence, changes
-}
-
-// narrow drops the companions that a request with e did not have when it ended an upstream.
-func (e *suspect) narrow(subjects []Subject, now time.Duration) {
-	if len(e.companions) == 0 {
-		return
-	}
-	before := len(e.companions)
-	e.companions = slices.DeleteFunc(e.companions, func(hash uint64) bool { return !containsHash(subjects, hash) })
-	if len(e.companions) < before {
-		e.changedAt = now
-	}
-}
-
-func containsHash(subjects []Subject, hash uint64) bool {
-	return slices.ContainsFunc(subjects, func(s Subject) bool { return s.Hash() == hash })
-}
-
-// outlive voids ends at earlier points than a response has come to, and ends the quarantine if
-// it rests on these alone.
-func (e *suspect) outlive(v survival, now time.Duration) []Change {
-	merged := e.survival.merge(v)
-	if merged == e.survival {
-		return nil
-	}
-	e.survival = merged
-	before := len(e.ends)
-	e.ends = slices.DeleteFunc(e.ends, e.survival.voids)
-	if len(e.ends) == before {
-		return nil
-	}
-	e.changedAt = now
-	if e.since == 0 || len(e.ends) > 0 {
-		return nil
-	}
-	return e.clear(e.since)
-}
-
 // clear voids the evidence up to a time, and ends the quarantine if none is left.
 func (e *suspect) clear(until time.Duration) []Change {
 	e.clearedAt = max(e.clearedAt, until)
@@ -444,96 +294,6 @@
 	return []Change{change}
 }
 
-// counted returns the ends without those at a clearly earlier point than another one, since the
-// response under which that upstream ended had outlived them, and without shared ones.
-func (e *suspect) counted() []End {
-	list := make([]End, 0, len(e.ends))
-	for _, end := range e.ends {
-		outlived := func(o End) bool { return end.Progress.clearlyBefore(o.Progress) }
-		if !end.shared && !slices.ContainsFunc(e.ends, outlived) {
-			list = append(list, end)
-		}
-	}
-	return list
-}
-
-// independent returns the number of ends that happened one after the other.
-func (e *suspect) independent() (n int) {
-	var last End
-	for _, end := range e.counted() {
-		if n == 0 || end.follows(last) {
-			n, last = n+1, end
-		}
-	}
-	return n
-}
-
-// follows reports whether the end is evidence beside another one: the request was sent after
-// that, or both upstreams had begun to respond and ended at the same point, but at different
-// times.
-func (e End) follows(o End) bool {
-	return e.SentAt > o.At || e.Stage == AfterEvent && e.At-o.At >= independentGap && e.SentAt-o.SentAt >= independentGap
-}
-
-// otherEnds returns the times at which upstreams of the same service ended without the
-// subject, as far as they are known. The caller holds mu.
-func (t *Table) otherEnds(e *suspect) map[uint64]time.Duration {
-	others := make(map[uint64]time.Duration)
-	for _, o := range t.suspects {
-		if o.Service != e.Service {
-			continue
-		}
-		for _, end := range o.ends {
-			others[end.Upstream] = end.At
-		}
-	}
-	for _, end := range e.ends {
-		delete(others, end.Upstream)
-	}
-	return others
-}
-
-// due reports whether the evidence suffices also in view of the upstreams that ended without
-// the subject. Their ends at the same time void an end. Responses that had gone on for longer
-// than progressSlack may have been open by chance, so that half of the ends in the meantime must
-// be under the subject. The caller holds mu.
-func (t *Table) due(e *suspect) bool {
-	for i := range e.ends {
-		e.ends[i].shared = false
-	}
-	if !e.sufficient() || len(e.ends) == maxEnds {
-		return e.sufficient()
-	}
-	others := t.otherEnds(e)
-	for i := range e.ends {
-		e.ends[i].shared = countWithin(others, e.ends[i].At-sharedWindow, e.ends[i].At+sharedWindow) >= sharedEnds
-	}
-	if !e.sufficient() {
-		return false
-	}
-	counted := e.counted()
-	late := slices.ContainsFunc(counted, func(end End) bool { return end.Progress.Time > progressSlack })
-	return !late || countWithin(others, counted[0].At, counted[len(counted)-1].At) <= len(counted)
-}
-
-// countWithin returns how many of the ends are between two times.
-func countWithin(ends map[uint64]time.Duration, from, to time.Duration) (n int) {
-	for _, at := range ends {
-		if from <= at && at <= to {
-			n++
-		}
-	}
-	return n
-}
-
-// sufficient reports whether the evidence suffices for a quarantine.
-func (e *suspect) sufficient() bool {
-	if e.Request {
-		return len(e.counted()) >= requestEnds && e.independent() >= independentRequestEnds
-	}
-	return e.independent() >= independentEnds
-}
-
 // Tick begins quarantines and drops what is outdated. settle is the time in which all
 // daemons hear of evidence and object to it.
 func (t *Table) Tick(settle, now time.Duration) []Change {
@@ -568,93 +328,6 @@
 	return changes
 }
 
-// comparison relates the ends under one suspect to those under another.
-type comparison struct {
-	covered bool // the other explains all of them: these upstreams ended under it too
-	more    bool // and others did
-	same    bool // the requests were the same each time
-	later   bool // the other's requests were sent later each time
-}
-
-func (e *suspect) compare(other *suspect) comparison {
-	ends, others := e.counted(), other.counted()
-	c := comparison{covered: true, more: len(others) > len(ends), same: !e.Request || !other.Request, later: true}
-	for _, end := range ends {
-		i := slices.IndexFunc(others, func(o End) bool { return o.Upstream == end.Upstream })
-		if i < 0 {
-			return comparison{}
-		}
-		difference := end.runTime() - others[i].runTime()
-		c.same = c.same && difference.Abs() <= runTimeError
-		c.later = c.later && difference > runTimeError
-	}
-	return c
-}
-
-// explainedBy reports whether other, and not e, is the cause of the ends under e. Requests
-// with a segment that ends upstreams have other segments too, and others were open at the same
-// upstreams. Of two subjects with the same few ends neither is blamed before the next end,
-// unless the one is a request and the other a segment of its prompt.
-func (e *suspect) explainedBy(other *suspect) bool {
-	if e == other || e.Service != other.Service || len(e.ends) == 0 {
-		return false
-	}
-	c := e.compare(other)
-	switch {
-	case !c.covered:
-		return false
-	case c.more:
-		return true
-	case c.same:
-		return other.Request
-	}
-	return len(e.counted()) == independentEnds || c.later
-}
-
-// explainedTogether reports whether each end under e is also one under another subject with
-// more ends: a sound segment may have been open at upstreams that several others ended. Of
-// subjects with the same few ends none is blamed before the next end.
-func (e *suspect) explainedTogether(blamed []*suspect) bool {
-	ends := e.counted()
-	least := len(ends) + 1
-	if len(ends) == independentEnds {
-		least = len(ends)
-	}
-	var better []End
-	for _, o := range blamed {
-		if o == e || o.Service != e.Service {
-			continue
-		}
-		if c := e.compare(o); c.covered && c.same {
-			continue
-		}
-		if others := o.counted(); len(others) >= least {
-			better = append(better, others...)
-		}
-	}
-	return !slices.ContainsFunc(ends, func(end End) bool {
-		return !slices.ContainsFunc(better, func(o End) bool { return o.Upstream == end.Upstream })
-	})
-}
-
-// inseparable returns the hashes of the other segments that were in the same requests as e
-// each time an upstream ended.
-func (e *suspect) inseparable(blamed []*suspect) (hashes []uint64) {
-	if e.Request {
-		return nil
-	}
-	for _, o := range blamed {
-		if o == e || o.Request || o.Service != e.Service || len(hashes) == maxCompanions {
-			continue
-		}
-		if c := e.compare(o); c.covered && c.same && !c.more {
-			hashes = append(hashes, o.Hash())
-		}
-	}
-	slices.Sort(hashes)
-	return hashes
-}
-
 // expire drops old evidence and ends a quarantine whose term has passed.
 func (e *suspect) expire(now time.Duration) {
 	e.ends = slices.DeleteFunc(e.ends, func(o End) bool { return now-o.At > evidenceTTL })
--- a/internal/routing/place/pauses.go
+++ b/internal/routing/place/pauses.go
@@ -69,3 +69,29 @@
 	}
 	delete(p, victim)
 }
+
+// UntilResume returns the time until the first upstream of a service accepts requests again
+// if all that are not leaving pause, and 0 otherwise.
+func (p *Placer) UntilResume(service string, now time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.untilResume(service, now)
+}
+
+// untilResume is UntilResume; the caller holds mu.
+func (p *Placer) untilResume(service string, now time.Duration) time.Duration {
+	earliest := time.Duration(0)
+	for _, u := range p.roster.Usable(service) {
+		if s := p.states[u.Key()]; s == nil || s.leaving {
+			continue
+		}
+		until := p.pauses.until(u.Key(), now)
+		if until == 0 {
+			return 0
+		}
+		if earliest == 0 || until-now < earliest {
+			earliest = until - now
+		}
+	}
+	return earliest
+}
--- a/internal/routing/place/place.go
+++ b/internal/routing/place/place.go
@@ -285,32 +285,6 @@
 
 func fromMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// UntilResume returns the time until the first upstream of a service accepts requests again
-// if all that are not leaving pause, and 0 otherwise.
-func (p *Placer) UntilResume(service string, now time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.untilResume(service, now)
-}
-
-// untilResume is UntilResume; the caller holds mu.
-func (p *Placer) untilResume(service string, now time.Duration) time.Duration {
-	earliest := time.Duration(0)
-	for _, u := range p.roster.Usable(service) {
-		if s := p.states[u.Key()]; s == nil || s.leaving {
-			continue
-		}
-		until := p.pauses.until(u.Key(), now)
-		if until == 0 {
-			return 0
-		}
-		if earliest == 0 || until-now < earliest {
-			earliest = until - now
-		}
-	}
-	return earliest
-}
-
 // promptInfo holds properties of a prompt that don't depend on the upstream.
 type promptInfo struct {
 	leading     int              // leading segments assumed to be cached at all upstreams
