Quarantine: a long answer at an upstream that ends does not separate companions

What callers would see: two segments that came together each time are refused only together. One end of an upstream at which a long, sound answer with one of them was open made that one refused alone.

Cause: narrow dropped the companions that a request did not have at any end, also one that does not agree with the others. Found by reading the diff; the case in TestInseparableSegments failed before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -208,9 +208,12 @@
 			kind = Dropped
 		default:
 			var more []Change
+			before := len(e.counted())
 			kind, more = e.add(end, now)
 			changes = append(changes, more...)
-			e.narrow(subjects, now)
+			if len(e.counted()) > before { // it agrees with the other ends
+				e.narrow(subjects, now)
+			}
 			repeated = repeated || e.repeated()
 		}
 		effects = append(effects, Effect{s, kind})
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -404,6 +404,8 @@
 		assert.Assert(t, x.refuses(1, 2, 9), "both")
 		assert.Assert(t, !x.refuses(1, 2) && !x.refuses(1, 9), "one of them")
 	}
+	f.brokenAt(Progress{5 * time.Second, 100}, map[time.Duration][]Subject{6 * time.Second: segments(1, 2)})
+	assert.Assert(t, !f.refuses(1, 2), "a long answer with the sound one was open at an upstream that ended")
 	f.end(1, 3, 9)
 	f.pass(200 * time.Millisecond)
 	other.Merge(f.Statements(false, f.now), f.now)
