--- a/review/8/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Case 8. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Case 9. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0: the same without the kills.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
--- a/review/cases2/deadly/main.go
+++ b/review/cases2/deadly/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command deadly plays case 8: one request crashes each server that runs it and comes again and
+// Command deadly plays case 9: one request crashes each server that runs it and comes again and
 // again; all daemons are killed twice, each time after it has crashed two servers.
 package main
 
