--- a/review/cases2/cutoff/main.go
+++ b/review/cases2/cutoff/main.go
@@ -1,7 +1,8 @@
 //go:build review
 
 // Command cutoff plays case 6: servers begin to answer before they have read a long body, with
-// answers that have no length, and crash in the middle of these.
+// answers that have no length, and crash in the middle of these. Most answers, those to small
+// requests, have a length.
 package main
 
 import (
@@ -27,6 +28,7 @@
 	lineGap   = 40 * time.Millisecond
 	crashAt   = lines / 2 // line after which the server crashes
 	rounds    = 12
+	small     = 24 // small requests in each round
 )
 
 func main() {
@@ -71,6 +73,11 @@
 				fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", attempt)
 				return
 			}
+			if strings.HasPrefix(req.URL.Path, "/order/small") {
+				_, _ = io.Copy(io.Discard, req.Body)
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: 3e1b.07.%s\r\nContent-Length: 5\r\nConnection: close\r\n\r\nsmall", attempt, id)
+				return
+			}
 			watched := strings.HasPrefix(attempt, "watch-")
 			if !watched {
 				fmt.Println("runs", attempt)
@@ -221,6 +228,7 @@
 	defer p.Close()
 	p.Store.PutJSON("op", "config", config())
 	broken := 0
+	defer func() { record.Printf("answers with a length: %d, to small requests", smallAnswers) }()
 	for round := range rounds {
 		result, err := playRound(p, record, round)
 		if err != nil {
@@ -236,6 +244,27 @@
 	return kit2.Held
 }
 
+// smallAnswers counts the whole answers to small requests.
+var smallAnswers int
+
+// sendSmall sends small requests, which servers answer with a length.
+func sendSmall(front string, round int) {
+	for n := range small {
+		c, err := net.DialTimeout("tcp4", front, time.Second)
+		if err != nil {
+			continue
+		}
+		_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+		fmt.Fprintf(c, "POST /order/small HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: %08x%08x\r\nX-Deadline-Ms: 2000\r\nAuthorization: Bearer key-one\r\nContent-Length: 2\r\n\r\nhi", round+1, n+1)
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			if text, err := io.ReadAll(resp.Body); err == nil && resp.StatusCode == 200 && string(text) == "small" {
+				smallAnswers++
+			}
+		}
+		_ = c.Close()
+	}
+}
+
 // playRound sends one request to a new server. It returns 1 if the client got a part of the
 // answer as a complete success.
 func playRound(p *kit2.Platform, record *kit2.Record, round int) (int, error) {
@@ -261,6 +290,7 @@
 	path := map[bool]string{false: "/order/1", true: "/stream/1"}[stream]
 	attempt := fmt.Sprintf("%016x", round+1)
 	d := p.Daemons[round%len(p.Daemons)]
+	sendSmall(d.Front, round)
 	record.Printf("client sends %s POST %s with a body of %d bytes to %s", attempt, path, bodyBytes, d.Name)
 	watched := watch(id, address)
 	crashed := make(chan bool, 1)
