--- a/review/cases2/cutoff/main.go
+++ b/review/cases2/cutoff/main.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +29,7 @@
 	lineGap   = 40 * time.Millisecond
 	crashAt   = lines / 2 // line after which the server crashes
 	rounds    = 12
+	servers   = 7  // of which one at a time crashes
 	small     = 24 // small requests in each round
 )
 
@@ -106,9 +108,11 @@
 
 // server is a server's process, as the test sees it.
 type server struct {
-	cmd   *exec.Cmd
-	wrote chan int // numbers of the lines that it wrote
-	ready chan bool
+	cmd     *exec.Cmd
+	address string
+	wrote   chan int // numbers of the lines that it wrote
+	ready   chan bool
+	dead    atomic.Bool
 }
 
 func startServer(id, address string, record *kit2.Record) (*server, error) {
@@ -227,16 +231,32 @@
 	}
 	defer p.Close()
 	p.Store.PutJSON("op", "config", config())
+	f := &fleet{platform: p, record: record, present: make(map[string]*server)}
+	defer f.close()
+	for range servers {
+		if err := f.add(); err != nil {
+			record.Printf("not run: %v", err)
+			return kit2.NotRun
+		}
+	}
+	if err := p.AddDaemons(3); err != nil {
+		record.Printf("not run: %v", err)
+		return kit2.NotRun
+	}
+	if err := p.WaitReady(10 * time.Second); err != nil {
+		record.Printf("not run: %v", err)
+		return kit2.NotRun
+	}
 	broken := 0
-	defer func() { record.Printf("answers with a length: %d, to small requests", smallAnswers) }()
 	for round := range rounds {
-		result, err := playRound(p, record, round)
+		result, err := f.playRound(round)
 		if err != nil {
 			record.Printf("not run: %v", err)
 			return kit2.NotRun
 		}
 		broken += result
 	}
+	record.Printf("answers with a length: %d, to small requests", smallAnswers)
 	record.Printf("%d of %d answers were cut off and looked complete to the client", broken, rounds)
 	if broken > 0 {
 		return kit2.Broken
@@ -265,64 +285,108 @@
 	}
 }
 
-// playRound sends one request to a new server. It returns 1 if the client got a part of the
-// answer as a complete success.
-func playRound(p *kit2.Platform, record *kit2.Record, round int) (int, error) {
-	id, address := fmt.Sprintf("i-%d", round), kit2.FreeAddress()
-	s, err := startServer(id, address, record)
+// fleet is the present servers, by id.
+type fleet struct {
+	platform *kit2.Platform
+	record   *kit2.Record
+	next     int
+	present  map[string]*server
+}
+
+// add starts a server and writes its entry.
+func (f *fleet) add() error {
+	id, address := fmt.Sprintf("i-%d", f.next), kit2.FreeAddress()
+	f.next++
+	s, err := startServer(id, address, f.record)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	defer s.kill()
-	p.Store.PutJSON("servers", id, map[string]any{"service": "desk", "address": address, "zone": "zone-a", "version": "v1", "slots": 6,
+	s.address = address
+	f.present[id] = s
+	f.platform.Store.PutJSON("servers", id, map[string]any{"service": "desk", "address": address, "zone": "zone-a", "version": "v1", "slots": 6,
 		"state": "ready", "coldLeftMs": 0, "seqNo": 1, "born": time.Now().UnixMilli()})
-	defer p.Store.Remove("servers", id)
-	if len(p.Daemons) == 0 {
-		if err := p.AddDaemons(3); err != nil {
-			return 0, err
-		}
-		if err := p.WaitReady(10 * time.Second); err != nil {
-			return 0, err
-		}
+	return nil
+}
+
+func (f *fleet) close() {
+	for _, s := range f.present {
+		s.kill()
 	}
-	time.Sleep(time.Second) // all daemons know the server
+}
+
+// playRound sends one long request, and small ones before it. It returns 1 if the client got a part
+// of the answer as a complete success.
+func (f *fleet) playRound(round int) (int, error) {
+	time.Sleep(time.Second) // all daemons know the servers
 	stream := round%2 == 1
 	path := map[bool]string{false: "/order/1", true: "/stream/1"}[stream]
 	attempt := fmt.Sprintf("%016x", round+1)
-	d := p.Daemons[round%len(p.Daemons)]
+	d := f.platform.Daemons[round%len(f.platform.Daemons)]
 	sendSmall(d.Front, round)
-	record.Printf("client sends %s POST %s with a body of %d bytes to %s", attempt, path, bodyBytes, d.Name)
-	watched := watch(id, address)
-	crashed := make(chan bool, 1)
-	go func() {
-		for n := range s.wrote {
-			if n == crashAt && kit2.Trouble() {
-				s.kill()
-				record.Printf("server %s crashes (SIGKILL) after %d of %d lines of its answer", id, n, lines)
-				crashed <- true
-				return
-			}
-		}
-	}()
+	f.record.Printf("client sends %s POST %s with a body of %d bytes to %s", attempt, path, bodyBytes, d.Name)
+	crashed := make(chan error, 1)
+	stop := make(chan struct{})
+	for id, s := range f.present {
+		go f.crashWhenRunning(id, s, crashed, stop)
+	}
 	status, sealed, body, err := send(d.Front, path, attempt)
 	whole := ""
 	for n := 1; n <= lines; n++ {
 		whole += answer(attempt, stream, n)
 	}
 	isWhole := string(body) == whole
-	record.Printf("client got status %d, sealed %v, %d of %d bytes, looks complete: %v (%v)", status, sealed, len(body), len(whole), err == nil && status != 0, err)
+	f.record.Printf("client got status %d, sealed %v, %d of %d bytes, looks complete: %v (%v)", status, sealed, len(body), len(whole), err == nil && status != 0, err)
 	if kit2.Trouble() {
-		record.Printf("a second connection to the server, with unread bytes as the daemon's, ended with: %v", <-watched)
 		select {
-		case <-crashed:
+		case watched := <-crashed:
+			f.record.Printf("a second connection to the server, with unread bytes as the daemon's, ended with: %v", watched)
 		case <-time.After(2 * time.Second):
-			return 0, fmt.Errorf("the server did not come to its crash")
+			return 0, fmt.Errorf("no server came to its crash")
+		}
+		close(stop)
+		for id, s := range f.present {
+			if s.dead.Load() {
+				f.platform.Store.Remove("servers", id)
+				delete(f.present, id)
+			}
+		}
+		if err := f.add(); err != nil {
+			return 0, err
+		}
+	} else {
+		close(stop)
+		if !isWhole {
+			return 1, nil // the answer was whole at the server
 		}
-	} else if !isWhole {
-		return 1, nil // the answer was whole at the server
 	}
 	if err == nil && status >= 200 && status < 300 && !isWhole {
 		return 1, nil
 	}
 	return 0, nil
 }
+
+// crashWhenRunning kills the server in the middle of an answer without a length. It delivers how a
+// second connection to it ended.
+func (f *fleet) crashWhenRunning(id string, s *server, crashed chan<- error, stop <-chan struct{}) {
+	var watched <-chan error
+	for {
+		select {
+		case <-stop:
+			return
+		case n := <-s.wrote:
+			if !kit2.Trouble() {
+				continue
+			}
+			if watched == nil {
+				watched = watch(id, s.address)
+			}
+			if n == crashAt {
+				s.dead.Store(true)
+				s.kill()
+				f.record.Printf("server %s crashes (SIGKILL) after %d of %d lines of its answer", id, n, lines)
+				crashed <- <-watched
+				return
+			}
+		}
+	}
+}
--- a/review/cases2/deadly/main.go
+++ b/review/cases2/deadly/main.go
@@ -8,10 +8,12 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lagoonmux/lagoonmux/internal/standin/site"
@@ -19,15 +21,16 @@
 )
 
 const (
-	daemons   = 3
-	servers   = 9
-	backAfter = 3 * time.Second // a crashed server is back
-	contact   = 3 * time.Second // contactMs
-	again     = 4 * time.Second // the request comes again
-	sends     = 12
-	downFor   = 300 * time.Millisecond // of killed daemons
-	allowed   = 3                      // retries, by the rule
-	body      = "a request that crashes its server"
+	daemons      = 3
+	servers      = 9
+	backAfter    = 3 * time.Second // a crashed server is back
+	contact      = 3 * time.Second // contactMs
+	soundClients = 30
+	shareOf      = 0.03                   // deadly requests may be this share of all; the entry in the news has share = 0.03
+	longest      = 20 * time.Second       // between the first and the last; the entry has for_s = 20.0
+	downFor      = 300 * time.Millisecond // of killed daemons
+	allowed      = 3                      // retries, by the rule
+	body         = "a request that crashes its server"
 )
 
 func main() { os.Exit(play()) }
@@ -153,36 +156,70 @@
 	return f.play()
 }
 
-// play sends the deadly request again and again, and sound ones between.
+// pauses are those after each deadly request: all daemons are killed at the end of the marked ones.
+var pauses = []struct {
+	wait time.Duration
+	kill bool
+}{{2 * time.Second, false}, {time.Second, true}, {contact + 200*time.Millisecond, false}, {time.Second, true}, {2 * time.Second, false}, {2 * time.Second, false}, {time.Second, false}}
+
+// play sends the deadly request again and again, and sound ones beside it.
 func (f *fleet) play() int {
+	stop := make(chan struct{})
+	var sound, failed atomic.Int64
+	var wg sync.WaitGroup
+	for i := range soundClients {
+		wg.Go(func() { f.sendSound(i, stop, &sound, &failed) })
+	}
 	var startedAt time.Time // of the daemons, after the last kill; zero before
-	for n := range sends {
+	began := time.Now()
+	for n, pause := range pauses {
 		d := f.platform.Daemons[n%daemons]
 		id := fmt.Sprintf("%016x", 1000+n)
 		status, err := send(d.Front, id, body)
 		f.record.Printf("deadly request %s to %s: status %d (%v)", id, d.Name, status, err)
-		time.Sleep(again / 2)
-		for i, d := range f.platform.Daemons {
-			sound := fmt.Sprintf("%016x", 2000+n*daemons+i)
-			if status, err := send(d.Front, sound, "sound "+sound); status != 200 || err != nil {
-				f.record.Printf("sound request %s to %s: status %d (%v)", sound, d.Name, status, err)
-			}
-		}
-		time.Sleep(again / 2)
-		if kit2.Trouble() && (n == 1 || n == 3) {
+		time.Sleep(pause.wait)
+		if kit2.Trouble() && pause.kill {
 			f.noteCounted(startedAt)
 			if err := f.restart(); err != nil {
 				f.record.Printf("not run: %v", err)
 				return kit2.NotRun
 			}
 			startedAt = time.Now()
-			time.Sleep(contact + time.Second) // the next ones come from machines in touch
+		}
+		if pause.kill {
+			time.Sleep(contact + 200*time.Millisecond) // the next ones come from machines in touch
 		}
 	}
+	took := time.Since(began) - pauses[len(pauses)-1].wait
 	f.noteCounted(startedAt)
+	close(stop)
+	wg.Wait()
+	share := float64(len(pauses)) / float64(int64(len(pauses))+sound.Load()+failed.Load())
+	f.record.Printf("sound requests: %d served, %d not; share of the deadly ones %.3f, over %.1f s", sound.Load(), failed.Load(), share, took.Seconds())
+	if share > shareOf || took > longest {
+		f.record.Printf("not run: beyond the limits")
+		return kit2.NotRun
+	}
 	return f.judge()
 }
 
+// sendSound sends sound requests as one client.
+func (f *fleet) sendSound(client int, stop <-chan struct{}, sound, failed *atomic.Int64) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(600*time.Millisecond + rand.N(600*time.Millisecond)):
+		}
+		id := fmt.Sprintf("%08x%08x", client+1, n)
+		if status, err := send(f.platform.Daemons[client%daemons].Front, id, "sound "+id); status == 200 && err == nil {
+			sound.Add(1)
+		} else {
+			failed.Add(1)
+		}
+	}
+}
+
 func (f *fleet) crashTimes() []time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -221,10 +258,6 @@
 
 func (f *fleet) judge() int {
 	crashes := len(f.crashTimes())
-	if crashes < 3 {
-		f.record.Printf("not run: %d crashes", crashes)
-		return kit2.NotRun
-	}
 	f.record.Printf("%d crashes; %d retries reached servers later than contactMs after the third crash, sent by machines in touch; %d are allowed", crashes, len(f.counted), allowed)
 	if len(f.counted) > allowed {
 		return kit2.Broken
--- a/review/cases2/denied/main.go
+++ b/review/cases2/denied/main.go
@@ -22,12 +22,12 @@
 
 const (
 	daemons    = 3
-	servers    = 3
-	clients    = 12
-	others     = 6 // clients that ask for other things
+	servers    = 7
+	clients    = 16
+	others     = 46 // clients that ask for other things
 	work       = 150 * time.Millisecond
 	pause      = 100 * time.Millisecond // between the requests of a client
-	crashes    = 7
+	crashes    = 9
 	firstCrash = 5 * time.Second
 	crashGap   = 4500 * time.Millisecond
 	downFor    = 3 * time.Second
@@ -169,7 +169,8 @@
 			}
 			r = bufio.NewReader(c)
 		}
-		_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+		began := time.Now()
+		_ = c.SetDeadline(began.Add(2 * time.Second))
 		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x.example\r\nX-Attempt-Id: %016x\r\nX-Deadline-Ms: 1000\r\nAuthorization: Bearer key-one\r\n\r\n", path, nextID.Add(1))
 		resp, err := http.ReadResponse(r, nil)
 		if err == nil {
@@ -185,7 +186,7 @@
 			_ = c.Close()
 			c = nil
 		}
-		time.Sleep(pause/2 + rand.N(pause))
+		time.Sleep(time.Until(began.Add(work + pause/2 + rand.N(pause)))) // as often, however soon the answer comes
 	}
 	if c != nil {
 		_ = c.Close()
@@ -256,12 +257,17 @@
 	}
 	wg.Wait()
 	total := 0
+	hotCount := 0
+	for _, n := range hot.counts {
+		hotCount += n
+	}
 	for name, t := range map[string]*tally{"/look/hot": hot, "others": sound} {
 		for what, n := range t.counts {
 			record.Printf("%s: %s: %d", name, what, n)
 			total += n
 		}
 	}
+	record.Printf("share of the requests for /look/hot: %.2f", float64(hotCount)/float64(max(total, 1)))
 	denied, allowed := hot.own+sound.own, 5+total/500
 	record.Printf("%d of %d requests were ended with a 3xx or 4xx of the system's own; %d are allowed", denied, total, allowed)
 	if denied > allowed {
--- a/review/cases2/poison/main.go
+++ b/review/cases2/poison/main.go
@@ -22,18 +22,20 @@
 )
 
 const (
-	daemons   = 3
-	servers   = 18
-	events    = 30 // of a sound stream
-	eventGap  = 60 * time.Millisecond
-	backAfter = 3 * time.Second // a crashed server is back
-	contact   = 3 * time.Second // contactMs
-	allowed   = 3               // by the rule
-	length    = 40 * time.Second
-	gap       = 1500 * time.Millisecond // between two bad requests
-	deadline  = 4 * time.Second         // of clients
-	badPart   = "e4402b7d"
-	badBody   = "a request that ends its server"
+	daemons      = 3
+	servers      = 18
+	events       = 30 // of a sound stream
+	eventGap     = 60 * time.Millisecond
+	backAfter    = 3 * time.Second         // a crashed server is back
+	contact      = 3 * time.Second         // contactMs
+	allowed      = 3                       // by the rule
+	length       = 20 * time.Second        // the news' entry has for_s = 20.0
+	shareOf      = 0.03                    // bad requests may be this share of all; the news' entry has share = 0.03
+	gap          = 1500 * time.Millisecond // between two bad requests
+	deadline     = 4 * time.Second         // of clients
+	soundClients = 120
+	badPart      = "e4402b7d"
+	badBody      = "a request that ends its server"
 )
 
 // mode is how servers end.
@@ -280,20 +282,22 @@
 	stop := time.Now().Add(length)
 	var wg sync.WaitGroup
 	var sound, cut atomic.Int64
-	for i := range 6 {
+	for i := range soundClients {
 		wg.Go(func() {
 			for n := 0; time.Now().Before(stop); n++ {
-				status, got, err := send(f.platform.Daemons[i%daemons].Front, fmt.Sprintf("5c1e07a2:800,91bd3f06:410,%08x:250", 1<<20+i*1000+n), "sound "+strconv.Itoa(i*1000+n))
+				status, got, err := send(f.platform.Daemons[i%daemons].Front, fmt.Sprintf("5c1e07a2:800,91bd3f06:410,%08x:250", 1<<21+i*10000+n), "sound "+strconv.Itoa(i*10000+n))
 				if status == 200 && got == events && err == nil {
 					sound.Add(1)
 				} else {
 					cut.Add(1)
 				}
-				time.Sleep(200 * time.Millisecond)
+				time.Sleep(400*time.Millisecond + rand.N(400*time.Millisecond))
 			}
 		})
 	}
+	badSent := 0
 	for n := 0; time.Now().Before(stop); n++ {
+		badSent++
 		d := f.platform.Daemons[n%daemons]
 		prompt, body := fmt.Sprintf("5c1e07a2:800,%s:300,%08x:250", badPart, 1<<24+n), "bad "+strconv.Itoa(n)
 		if !f.mode.part {
@@ -308,10 +312,11 @@
 	wg.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.record.Printf("sound requests: %d whole, %d not", sound.Load(), cut.Load())
-	if os.Getenv("TROUBLE") == "0" {
-		f.record.Printf("no server was ended")
-		return kit2.Held
+	share := float64(badSent) / float64(int64(badSent)+sound.Load()+cut.Load())
+	f.record.Printf("sound requests: %d whole, %d not; share of the bad ones %.3f", sound.Load(), cut.Load(), share)
+	if share > shareOf {
+		f.record.Printf("not run: the share is above %.2f", shareOf)
+		return kit2.NotRun
 	}
 	if len(f.crashes) < f.mode.after {
 		f.record.Printf("%d crashes: fewer than the rule counts from", len(f.crashes))
