Responses with a status outside 100 to 599 are no answers

Callers got a response whose status line said 000 as a 200, with its body, on plain and streamed routes and from lagoonmux serve. A 600 was passed on as it was, and a 099 was taken for an interim response, so that the head after it became the answer.

Cause: egress checks the protocol of the status line and leaves the code to fasthttp's parser, which takes any three digits, and whose StatusCode returns 200 for a code of 0.

Evidence: a stand-in that answers so.

framing.ParseStatus checks the whole status line, for each head that egress reads, interim or final, before any other part of it is used. So the attempt fails: it is retried where the request may run twice, else the caller gets 502, and the connection is closed. An empty or a missing reason phrase and unregistered codes up to 599 are still accepted. Two spaces before the code, which the grammar does not allow, no longer are.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -144,8 +144,9 @@
 	if err != nil {
 		return err
 	}
-	if !bytes.HasPrefix(head, []byte("HTTP/1.1 ")) && !bytes.HasPrefix(head, []byte("HTTP/1.0 ")) {
-		return errors.Errorf("protocol of status line %.40q is not HTTP/1.0 or 1.1", head)
+	// The parser of h takes status 000 for 200.
+	if _, err := framing.ParseStatus(head); err != nil {
+		return err
 	}
 	h.Reset()
 	if err := h.Read(bufio.NewReader(bytes.NewReader(head))); err != nil {
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -126,6 +126,17 @@
 		"another protocol":     {"ICY 200 OK\r\n\r\n", "", false},
 		"head cut":             {ok + "Content-LenCLOSE", "", false},
 		"no bytes":             {"CLOSE", "", false},
+		"empty reason phrase":  {"HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nhello", "hello", true},
+		"no reason phrase":     {"HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello", "hello", true},
+		"unregistered status":  {"HTTP/1.1 599 Odd\r\nContent-Length: 5\r\n\r\nhello", "hello", true},
+		"status 000":           {"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nhello", "", false},
+		"status 000, chunks":   {"HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "", false},
+		"status 000 unframed":  {"HTTP/1.1 000 OK\r\n\r\nhelloCLOSE", "", false},
+		"status 000, HTTP/1.0": {"HTTP/1.0 000\r\nContent-Length: 5\r\n\r\nhello", "", false},
+		"status 600":           {"HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\nhello", "", false},
+		"status of 4 digits":   {"HTTP/1.1 2000 OK\r\nContent-Length: 5\r\n\r\nhello", "", false},
+		"status 000, interim":  {"HTTP/1.1 000 Wait\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nhello", "", false},
+		"status 099, interim":  {"HTTP/1.1 099 Wait\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nhello", "", false},
 	} {
 		for _, byteWise := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -18,6 +18,8 @@
 // maxLengthDigits bounds the digits of Content-Length, so that it cannot overflow an int64.
 const maxLengthDigits = 15
 
+const statusDigits = 3 // of a status code
+
 // HeadEnd terminates the head of a message.
 var HeadEnd = []byte("\r\n\r\n")
 
@@ -87,6 +89,22 @@
 	return h, nil
 }
 
+// ParseStatus returns the status code of a response from its head. It returns an error unless
+// the head begins with a status line of HTTP/1.0 or 1.1 and the code is from 100 to 599, the
+// range that RFC 9110 defines.
+func ParseStatus(head []byte) (int, error) {
+	line, _, _ := bytes.Cut(head, crlf)
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	if string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0" {
+		return 0, errors.Errorf("protocol of status line %.40q is not HTTP/1.0 or 1.1", line)
+	}
+	code, _, _ := bytes.Cut(rest, []byte(" "))
+	if len(code) != statusDigits || code[0] < '1' || code[0] > '5' || !isDigits(code) {
+		return 0, errors.Errorf("status code %.40q is not a number from 100 to 599", code)
+	}
+	return strconv.Atoi(string(code))
+}
+
 // VisitFields calls visit for each field of a head that ParseHead accepted, in order.
 func VisitFields(head []byte, visit func(name, value []byte)) {
 	_, rest, _ := bytes.Cut(head, crlf)
@@ -140,13 +158,18 @@
 
 // parseLength parses the value of Content-Length, which must consist of digits only.
 func parseLength(value []byte) (int, error) {
-	if len(value) == 0 || len(value) > maxLengthDigits {
+	if len(value) == 0 || len(value) > maxLengthDigits || !isDigits(value) {
 		return 0, errors.Errorf("Content-Length %.40q is not a valid length", value)
 	}
-	for _, c := range value {
+	return strconv.Atoi(string(value))
+}
+
+// isDigits reports whether text consists of decimal digits only.
+func isDigits(text []byte) bool {
+	for _, c := range text {
 		if c < '0' || c > '9' {
-			return 0, errors.Errorf("Content-Length %.40q is not a valid length", value)
+			return false
 		}
 	}
-	return strconv.Atoi(string(value))
+	return true
 }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -45,6 +45,39 @@
 	}
 }
 
+func TestParseStatus(t *testing.T) {
+	for line, want := range map[string]int{ // 0: no valid status line
+		"HTTP/1.1 200 OK":            200,
+		"HTTP/1.0 200 OK":            200,
+		"HTTP/1.1 200 ":              200,
+		"HTTP/1.1 200":               200,
+		"HTTP/1.1 204 No  blanks\tx": 204,
+		"HTTP/1.1 100 Continue":      100,
+		"HTTP/1.1 599 Odd":           599,
+		"HTTP/1.1 000 OK":            0,
+		"HTTP/1.1 000":               0,
+		"HTTP/1.1 099 OK":            0,
+		"HTTP/1.1 600 OK":            0,
+		"HTTP/1.1 999 OK":            0,
+		"HTTP/1.1 20 OK":             0,
+		"HTTP/1.1 2000 OK":           0,
+		"HTTP/1.1 +20 OK":            0,
+		"HTTP/1.1 2x0 OK":            0,
+		"HTTP/1.1 200OK":             0,
+		"HTTP/1.1  200 OK":           0,
+		"HTTP/1.1 ":                  0,
+		"HTTP/1.1":                   0,
+		"HTTP/2 200":                 0,
+		"HTTP/1.10 200 OK":           0,
+		"ICY 200 OK":                 0,
+		"":                           0,
+	} {
+		got, err := ParseStatus([]byte(line + "\r\n\r\n"))
+		assert.Equal(t, got, want, line)
+		assert.Equal(t, err == nil, want != 0, "%s: %v", line, err)
+	}
+}
+
 // decode decodes text in pieces of size bytes. It returns the body, the bytes that
 // follow it, and whether the body is complete.
 func decode(text string, size int) (body string, rest string, done bool, err error) {
