Tests: blanks and control bytes in the names of fields never reached callers

An upstream's response whose head has such a name is rejected by framing.ParseHead before any of it is used, in final and interim heads, and by the decoder of chunks in trailers. So no caller got one. TestOddFieldsAreKept shows that odd but valid heads are accepted.

--- a/internal/dispatch/malformed_test.go
+++ b/internal/dispatch/malformed_test.go
@@ -33,6 +33,12 @@
 	"status 000, chunks":      "HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
 	"status 000, until close": "HTTP/1.1 000\r\n\r\nbroken",
 	"status 600":              "HTTP/1.1 600 OK\r\nContent-Length: 6\r\n\r\nbroken",
+	"blank in a name":         "HTTP/1.1 200 OK\r\nX Trouble: yes\r\nContent-Length: 6\r\n\r\nbroken",
+	"blank before the colon":  "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n\r\nbroken",
+	"control byte, chunks":    "HTTP/1.1 200 OK\r\nX\x01Trouble: yes\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n",
+	"tab, until close":        "HTTP/1.1 200 OK\r\nX\tTrouble: yes\r\n\r\nbroken",
+	"control byte, interim":   "HTTP/1.1 103 Early Hints\r\nX\x7fTrouble: yes\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbroken",
+	"blank in a trailer":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\nX Trouble: yes\r\n\r\n",
 }
 
 // TestMalformedResponses lets one or all upstreams answer with a malformed response. A call gets the
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -149,6 +149,80 @@
 	}
 }
 
+// badFieldNames are field lines whose names contain a blank or a control byte.
+var badFieldNames = map[string]string{
+	"blank":                   "X Trouble: yes\r\n",
+	"blank before the colon":  "X-Trouble : yes\r\n",
+	"blank at the start":      " X-Trouble: yes\r\n",
+	"blank before a length":   "Content -Length: 2\r\n",
+	"tab":                     "X\tTrouble: yes\r\n",
+	"tab before the colon":    "X-Trouble\t: yes\r\n",
+	"zero byte":               "X\x00Trouble: yes\r\n",
+	"control byte":            "X\x01Trouble: yes\r\n",
+	"bell in Content-Length":  "Content\x07-Length: 2\r\n",
+	"vertical tab":            "X\x0bTrouble: yes\r\n",
+	"escape":                  "\x1bX-Trouble: yes\r\n",
+	"delete":                  "X-Trouble\x7f: yes\r\n",
+	"carriage return":         "X\rTrouble: yes\r\n",
+	"line feed":               "X\nTrouble: yes\r\n",
+	"only a blank":            " : yes\r\n",
+	"no-break space in UTF-8": "X\u00a0Trouble: yes\r\n",
+}
+
+// TestFieldNames sends malformed field names in the head of the final response, in that of an interim
+// one, and as trailers, with each framing.
+func TestFieldNames(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, line := range badFieldNames {
+		for place, text := range map[string]string{
+			"length":                  ok + line + "Content-Length: 5\r\n\r\nhello",
+			"length, last line":       ok + "Content-Length: 5\r\n" + line + "\r\nhello",
+			"chunks":                  ok + line + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+			"chunks, last line":       ok + "Transfer-Encoding: chunked\r\n" + line + "\r\n5\r\nhello\r\n0\r\n\r\n",
+			"until close":             ok + line + "\r\nhelloCLOSE",
+			"interim":                 "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + ok + "Content-Length: 5\r\n\r\nhello",
+			"trailer":                 ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" + line + "\r\n",
+			"trailer after a trailer": ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Sound: yes\r\n" + line + "\r\n",
+		} {
+			t.Run(name+"/"+place, func(t *testing.T) {
+				s := serve(t, false, text, ok+"Content-Length: 3\r\n\r\nsee")
+				p := NewPool()
+				defer p.Close()
+				body, err := exchange(p, s.address)
+				assert.Assert(t, err != nil, "body %q", body)
+				if !strings.HasPrefix(place, "trailer") {
+					assert.Equal(t, body, "")
+				}
+				_, _ = exchange(p, s.address)
+				_, dials := p.Stats()
+				assert.Equal(t, dials, int64(2), "the connection was reused")
+			})
+		}
+	}
+}
+
+// TestOddFieldsAreKept checks heads that are odd but valid.
+func TestOddFieldsAreKept(t *testing.T) {
+	for name, line := range map[string]string{
+		"empty value":             "X-Odd:\r\n",
+		"all bytes of a token":    "!#$%&'*+-.^_`|~09azAZ: yes\r\n",
+		"no blank after colon":    "X-Odd:yes\r\n",
+		"blanks around the value": "X-Odd: \t yes \t \r\n",
+		"tab in the value":        "X-Odd: a\tb\r\n",
+		"colons in the value":     "X-Odd: a: b: c\r\n",
+		"UTF-8 in the value":      "X-Odd: \u00e9\r\n",
+		"repeated":                "X-Odd: a\r\nX-Odd: b\r\n",
+		"many":                    strings.Repeat("X-Odd: "+strings.Repeat("a", 70)+"\r\n", 50),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, false, "HTTP/1.1 200 \r\n"+line+"Content-Length: 5\r\n\r\nhello")
+			body, err := exchange(NewPool(), s.address)
+			assert.NilError(t, err)
+			assert.Equal(t, body, "hello")
+		})
+	}
+}
+
 // TestConnectionReuse checks that a connection is reused only if the response ended
 // cleanly, the upstream did not ask to close it and its idle timeout has not passed.
 func TestConnectionReuse(t *testing.T) {
