A response without a length is incomplete if a reset came while the request was written

A caller that sent a long body got a part of an upstream's response as a complete one, on plain routes with a Content-Length of its own, on streams with a last chunk, and from lagoonmux serve: the upstream answered at once with a 200 that had no length, and reset the connection, or its process ended, before it had read the body.

Cause: a request of more than 4 KiB is written in the background while the response is read. The kernel reports the error of a connection once. If the blocked write got it, the read beside it returned io.EOF, which egress took for the end of the body without looking at the write.

At the end of a body without a length egress now stops the write and takes its result. Any error but EPIPE aborted the connection, so the attempt has failed with it: it is retried or resumed where that is allowed, counts as an end of the upstream like any other reset, and the connection is closed.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -36,11 +36,8 @@
 
 func newTestService(t *testing.T, upstreams int, handle func(n int64, ctx *fasthttp.RequestCtx)) *testService {
 	f := &testService{}
-	m := &manifest.Manifest{Services: []manifest.Service{{
-		Name: "s", RetryShare: 0.1, Policy: manifest.RoundRobin,
-		Target: manifest.Target{FirstTokenMS: 100, BetweenTokensMS: 10, TotalMS: 10000},
-	}}}
-	for i := range upstreams {
+	var addresses []string
+	for range upstreams {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
 		server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
@@ -52,7 +49,20 @@
 		}}
 		go func() { _ = server.Serve(l) }()
 		t.Cleanup(func() { l.Close() })
-		m.Upstreams = append(m.Upstreams, manifest.Upstream{Name: fmt.Sprint("u", i), Service: "s", Address: l.Addr().String(), Slots: 4})
+		addresses = append(addresses, l.Addr().String())
+	}
+	f.start(t, addresses)
+	return f
+}
+
+// start creates the dispatcher, for upstreams at the addresses.
+func (f *testService) start(t *testing.T, addresses []string) {
+	m := &manifest.Manifest{Services: []manifest.Service{{
+		Name: "s", RetryShare: 0.1, Policy: manifest.RoundRobin,
+		Target: manifest.Target{FirstTokenMS: 100, BetweenTokensMS: 10, TotalMS: 10000},
+	}}}
+	for i, a := range addresses {
+		m.Upstreams = append(m.Upstreams, manifest.Upstream{Name: fmt.Sprint("u", i), Service: "s", Address: a, Slots: 4})
 	}
 	f.active = manifest.NewActive(1, m)
 	f.service = f.active.Service("s")
@@ -65,7 +75,6 @@
 	pool := upstream.NewPool()
 	t.Cleanup(pool.Close)
 	f.Dispatcher = dispatch.New(pool, router)
-	return f
 }
 
 func (f *testService) call() *call.Call {
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/framing"
+	"github.com/lagoonmux/lagoonmux/internal/netopt"
 )
 
 const (
@@ -202,16 +203,27 @@
 }
 
 // bodyReadError returns the error of ReadBody for a failed read. A closed connection
-// completes a body without a length and truncates any other.
+// completes a body without a length, unless it was aborted, and truncates any other.
 func (c *Conn) bodyReadError(err error) error {
 	if err != io.EOF {
 		return err
 	}
-	if c.bodyLength == framing.UntilClose {
-		c.complete = true
-		return io.EOF
+	if c.bodyLength != framing.UntilClose {
+		return errors.Wrapf(io.ErrUnexpectedEOF, "read response body of %s", c.address)
+	}
+	if err := netopt.AbortError(c.stopWriting()); err != nil {
+		return errors.Wrapf(err, "read response body of %s", c.address)
 	}
-	return errors.Wrapf(io.ErrUnexpectedEOF, "read response body of %s", c.address)
+	c.complete = true
+	return io.EOF
+}
+
+// stopWriting ends the writing of the request and returns its result.
+func (c *Conn) stopWriting() error {
+	_ = c.nc.SetWriteDeadline(time.Unix(1, 0))
+	err := <-c.written
+	c.written <- err
+	return err
 }
 
 // decodeBody consumes buf and appends the decoded bytes of the body to dst. It returns
--- /dev/null
+++ b/internal/egress/upload_test.go
@@ -0,0 +1,163 @@
+package egress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/lagoonmux/lagoonmux/internal/loopback"
+)
+
+// uploadBytes is the size of a request body that no socket buffers hold, so that it is still being
+// written while the response arrives.
+const uploadBytes = 32 << 20
+
+// serveEarly starts a server that calls respond on each connection after the first bytes of a
+// request, and closes the connection afterwards.
+func serveEarly(t *testing.T, respond func(c *net.TCPConn)) (address string) {
+	t.Helper()
+	address, err := loopback.Address()
+	assert.NilError(t, err)
+	l, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := c.Read(make([]byte, 1024)); err == nil {
+					respond(c.(*net.TCPConn))
+				}
+			}()
+		}
+	}()
+	return address
+}
+
+// upload sends a request with a long body and returns the body of the response. The error is nil
+// if the response is complete.
+func upload(p *Pool, address string) (string, error) {
+	c, err := p.Get(context.Background(), address, 4)
+	if err != nil {
+		return "", err
+	}
+	defer c.Release()
+	head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", uploadBytes)
+	if err := c.Start(context.Background(), []byte(head), make([]byte, uploadBytes)); err != nil {
+		return "", err
+	}
+	var h fasthttp.ResponseHeader
+	if err := c.ReadHead(&h, 5*time.Second); err != nil {
+		return "", err
+	}
+	var body []byte
+	for err == nil {
+		body, err = c.ReadBody(body, 5*time.Second)
+	}
+	if err == io.EOF {
+		err = nil
+	}
+	return string(body), err
+}
+
+// brokenOffResponses are beginnings of responses.
+var brokenOffResponses = map[string]string{
+	"until close":           "HTTP/1.1 200 OK\r\n\r\nhello",
+	"until close, HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\nhello",
+	"until close, no body":  "HTTP/1.1 200 OK\r\n\r\n",
+	"length":                "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+	"chunks":                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+}
+
+// TestResetDuringUpload resets the connection within a response while the request is still being
+// written. What has arrived is no complete response.
+func TestResetDuringUpload(t *testing.T) {
+	for name, text := range brokenOffResponses {
+		t.Run(name, func(t *testing.T) {
+			address := serveEarly(t, func(c *net.TCPConn) {
+				_, _ = io.WriteString(c, text)
+				time.Sleep(20 * time.Millisecond)
+				_ = c.SetLinger(0)
+			})
+			for i := range 20 {
+				p := NewPool()
+				body, err := upload(p, address)
+				assert.Assert(t, err != nil, "upload %d: %q looks complete", i, body)
+				open, _ := p.Stats()
+				assert.Equal(t, open, 0)
+			}
+		})
+	}
+}
+
+// TestUnreadUploadClosed lets the server close a connection with unread bytes, which resets it, as
+// the end of its process does.
+func TestUnreadUploadClosed(t *testing.T) {
+	address := serveEarly(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhello")
+		time.Sleep(20 * time.Millisecond)
+	})
+	for range 20 {
+		body, err := upload(NewPool(), address)
+		assert.Assert(t, err != nil, "%q looks complete", body)
+	}
+}
+
+// TestUploadNotAcknowledged lets the server stop reading for good, so that the kernel gives the
+// connection up.
+func TestUploadNotAcknowledged(t *testing.T) {
+	address := serveEarly(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhello")
+		time.Sleep(2 * ackTimeout)
+	})
+	body, err := upload(NewPool(), address)
+	assert.Assert(t, err != nil, "%q looks complete", body)
+}
+
+// TestCompleteResponseDuringUpload sends whole responses before the request was read. Each is
+// complete, whatever becomes of the rest of the request.
+func TestCompleteResponseDuringUpload(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, text := range map[string]string{
+		"until close": ok + "\r\nhello",
+		"length":      ok + "Content-Length: 5\r\n\r\nhello",
+		"chunks":      ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	} {
+		for end, after := range map[string]func(c *net.TCPConn){
+			"ends its side, reads on":     func(c *net.TCPConn) { _ = c.CloseWrite(); _, _ = io.Copy(io.Discard, c) },
+			"ends its side, then resets":  func(c *net.TCPConn) { _ = c.CloseWrite(); time.Sleep(20 * time.Millisecond); _ = c.SetLinger(0) },
+			"ends its side, then is idle": func(c *net.TCPConn) { _ = c.CloseWrite(); time.Sleep(300 * time.Millisecond) },
+			"reads on, then closes": func(c *net.TCPConn) {
+				_, _ = io.CopyN(io.Discard, c, uploadBytes/2)
+				_ = c.CloseWrite()
+				_, _ = io.Copy(io.Discard, c)
+			},
+		} {
+			t.Run(name+"/"+end, func(t *testing.T) {
+				address := serveEarly(t, func(c *net.TCPConn) {
+					_, _ = io.WriteString(c, text)
+					after(c)
+				})
+				for range 5 {
+					p := NewPool()
+					body, err := upload(p, address)
+					assert.NilError(t, err)
+					assert.Equal(t, body, "hello")
+					if open, _ := p.Stats(); name == "until close" {
+						assert.Equal(t, open, 0, "a connection that has ended is kept")
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -70,3 +72,15 @@
 	})
 	return err == nil && alive
 }
+
+// AbortError returns the error with which a connection was aborted, after a read returned io.EOF
+// and a write beside it ended with writeErr. It returns nil if the peer ended its side in order.
+//
+// The kernel reports the error of a connection once. If a write gets it, a read returns io.EOF, as
+// after an orderly end. A reset that follows an orderly end is reported to writes as EPIPE.
+func AbortError(writeErr error) error {
+	if errors.Is(writeErr, syscall.EPIPE) || errors.Is(writeErr, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return writeErr
+}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -79,6 +79,7 @@
 	header        http.Header // added to all responses
 	refusalHeader http.Header // added to refusals
 	raw           RawResponse // nil for none
+	early         *EarlyAnswer
 	sharedFault   *SharedFault
 	crashSegment  string    // prompt segment that ends the upstream; empty for none
 	crashBody     string    // body of a request that ends the upstream; empty for none
@@ -195,6 +196,9 @@
 		u.refuse(w, req, http.StatusMisdirectedRequest)
 		return
 	}
+	if u.respondEarly(w, req) {
+		return
+	}
 	body := ""
 	if fault != EarlyResponse {
 		data, err := io.ReadAll(req.Body)
@@ -240,17 +244,26 @@
 }
 
 func (u *Upstream) startRun(req *http.Request, body string) *Run {
+	run := newRun(req, body)
+	u.addRun(run)
+	return run
+}
+
+// newRun returns the record of a request.
+func newRun(req *http.Request, body string) *Run {
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	deadline, _ := strconv.Atoi(req.Header.Get("X-Deadline-Ms"))
-	run := &Run{
+	return &Run{
 		ID: req.Header.Get("X-Attempt-Id"), Method: req.Method, Path: req.RequestURI, Body: body,
 		Tenant: req.Header.Get("X-Tenant"), UpstreamID: req.Header.Get("X-Expect-Instance"),
 		Authorization: req.Header.Get("Authorization"), Header: req.Header.Clone(), Arrived: time.Now(), LastEventID: from, DeadlineMS: deadline,
 	}
+}
+
+func (u *Upstream) addRun(run *Run) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.runs = append(u.runs, run)
-	return run
 }
 
 func (u *Upstream) endRun(run *Run, result string) {
