An upstream that has begun to respond may read a long request whenever it wants

A caller whose upstream answered before it had read a long body, and went on for longer than 1.5 s before it read it, got a 502 or a stream that was cut, although the response was sound.

Cause: TCP_USER_TIMEOUT, 1.5 s, also ends a connection whose peer acknowledges every probe but does not open its window.

Once the head of the response has arrived, egress lifts that bound from a connection that carries a large request (more than 4 KiB). The deadline and the checks for silent upstreams bound the exchange as they do for small requests, and a connection that is kept gets its bound back. A server that neither reads nor responds is still given up after 1.5 s: TestUnreadUploadWithoutResponse.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -46,6 +46,7 @@
 	remaining  int        // bytes not read yet of a body of known length
 	decoder    framing.ChunkDecoder
 	complete   bool // the response was read to its end
+	large      bool // the request is written in a goroutine
 	noReuse    bool // the connection must be closed after the response
 	reused     bool // it carried an exchange before this one
 }
@@ -69,7 +70,7 @@
 		_, err := buffers.WriteTo(c.nc)
 		c.written <- err
 	}
-	if len(head)+len(body) > maxSyncWriteBytes {
+	if c.large = len(head)+len(body) > maxSyncWriteBytes; c.large {
 		go write()
 		return nil
 	}
@@ -93,12 +94,21 @@
 		}
 		c.buf = c.buf[end:]
 		if status := h.StatusCode(); status >= 200 && status != fasthttp.StatusSwitchingProtocols {
+			c.allowUnread()
 			return nil
 		}
 	}
 	return errors.Errorf("read response head of %s: too many interim responses", c.address)
 }
 
+// allowUnread lets an upstream that has begun to respond leave the rest of a large request
+// unread for longer than ackTimeout.
+func (c *Conn) allowUnread() {
+	if c.large {
+		_ = netopt.SetAckTimeout(c.nc, 0) // if this fails, reads fail too
+	}
+}
+
 // bufferHead reads until buf starts with a whole head, and returns the head's length.
 func (c *Conn) bufferHead(deadline time.Time) (int, error) {
 	for {
@@ -260,7 +270,7 @@
 // Release returns the connection to the pool if the exchange is complete and the
 // connection can be reused, and closes it otherwise.
 func (c *Conn) Release() {
-	reusable := c.detachContext != nil && c.detachContext() && c.complete && !c.noReuse && len(c.buf) == 0 && c.requestWritten()
+	reusable := c.detachContext != nil && c.detachContext() && c.complete && !c.noReuse && len(c.buf) == 0 && c.requestWritten() && c.restoreAckTimeout()
 	if !reusable || !time.Now().Before(c.idleDeadline) {
 		c.Close()
 		return
@@ -279,6 +289,11 @@
 	}
 }
 
+// restoreAckTimeout undoes allowUnread, and reports whether the connection can still be used.
+func (c *Conn) restoreAckTimeout() bool {
+	return !c.large || netopt.SetAckTimeout(c.nc, ackTimeout) == nil
+}
+
 // Close closes the connection. After each Get or Dial of the pool, exactly one of Release
 // and Close must be called.
 func (c *Conn) Close() {
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// SetAckTimeout closes the connection when sent bytes stay unacknowledged for ackTimeout, also
+// because the peer does not read; never if it is 0. It does nothing for a connection that is not
+// a socket's.
+func SetAckTimeout(c net.Conn, ackTimeout time.Duration) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return userTimeout(ackTimeout)("", "", raw)
+}
+
 // Alive reports whether an idle connection can be reused: it is open, and the peer has
 // sent no unexpected bytes. It does not block; if there is a byte, it is read.
 func Alive(c net.Conn) bool {
