Response heads of more than 4 KiB are read up to the limit of 32 KiB

A caller whose upstream sent a valid head of more than 4 KiB got 502, or another upstream's response.

Cause: egress accepts heads up to 32 KiB, but handed them to fasthttp's parser through a buffer of bufio's default size, which fails with ErrSmallBuffer. The buffer now has the size of the head.

Evidence: TestOddFieldsAreKept with 300 fields and with one of 20 KiB failed before this change.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -160,7 +160,7 @@
 		return err
 	}
 	h.Reset()
-	if err := h.Read(bufio.NewReader(bytes.NewReader(head))); err != nil {
+	if err := h.Read(bufio.NewReaderSize(bytes.NewReader(head), len(head))); err != nil {
 		return err
 	}
 	c.bodyLength, c.remaining, c.decoder = f.BodyLength, max(f.BodyLength, 0), framing.ChunkDecoder{}
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -213,6 +213,8 @@
 		"UTF-8 in the value":      "X-Odd: \u00e9\r\n",
 		"repeated":                "X-Odd: a\r\nX-Odd: b\r\n",
 		"many":                    strings.Repeat("X-Odd: "+strings.Repeat("a", 70)+"\r\n", 50),
+		"many more":               strings.Repeat("X-Odd: "+strings.Repeat("a", 70)+"\r\n", 300),
+		"long":                    "X-Odd: " + strings.Repeat("a", 20<<10) + "\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := serve(t, false, "HTTP/1.1 200 \r\n"+line+"Content-Length: 5\r\n\r\nhello")
