A response with status 101 is no interim response

An upstream that answered 101 without being asked to switch protocols had what followed read as the response, and the caller got it. What follows is not HTTP: egress never sends Upgrade.

Evidence: TestResponseFramings, "switch of protocols", failed before this change: the body "hello" of the head after the 101. ReadHead now fails, so that the attempt does.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -93,7 +93,10 @@
 			return errors.Wrapf(err, "read response head of %s", c.address)
 		}
 		c.buf = c.buf[end:]
-		if status := h.StatusCode(); status >= 200 && status != fasthttp.StatusSwitchingProtocols {
+		switch status := h.StatusCode(); {
+		case status == fasthttp.StatusSwitchingProtocols:
+			return errors.Errorf("read response head of %s: switches protocols without a request for it", c.address)
+		case status >= 200:
 			c.allowUnread()
 			return nil
 		}
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -129,6 +129,7 @@
 		"empty reason phrase":  {"HTTP/1.1 200 \r\nContent-Length: 5\r\n\r\nhello", "hello", true},
 		"no reason phrase":     {"HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello", "hello", true},
 		"unregistered status":  {"HTTP/1.1 599 Odd\r\nContent-Length: 5\r\n\r\nhello", "hello", true},
+		"switch of protocols":  {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nhello", "", false},
 		"status 000":           {"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nhello", "", false},
 		"status 000, chunks":   {"HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", "", false},
 		"status 000 unframed":  {"HTTP/1.1 000 OK\r\n\r\nhelloCLOSE", "", false},
