A connection on which a 204 named a length is not reused

A 204 has no body, but an upstream in trouble may name a length and send one. If it arrived after the connection had been taken for the next request, it stood before the head of that request's response, which failed. Seen in the code; TestNoContentWithLength, one connection for two such responses before this change, two now.

--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -167,10 +167,12 @@
 		return err
 	}
 	c.bodyLength, c.remaining, c.decoder = f.BodyLength, max(f.BodyLength, 0), framing.ChunkDecoder{}
-	if status := h.StatusCode(); status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+	status := h.StatusCode()
+	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		c.bodyLength, c.remaining = 0, 0
 	}
-	c.noReuse = h.ConnectionClose() || f.BodyLength == framing.UntilClose || bytes.HasPrefix(head, []byte("HTTP/1.0"))
+	bodyMayFollow := status == fasthttp.StatusNoContent && f.BodyLength != 0 // although none is allowed
+	c.noReuse = h.ConnectionClose() || f.BodyLength == framing.UntilClose || bodyMayFollow || bytes.HasPrefix(head, []byte("HTTP/1.0"))
 	c.idleDeadline = time.Now().Add(idleTimeout(h))
 	return nil
 }
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -226,6 +226,24 @@
 	}
 }
 
+// TestNoContentWithLength guards against a body that follows a 204 and becomes the head of the next
+// response on the connection.
+func TestNoContentWithLength(t *testing.T) {
+	for line, dials := range map[string]int64{"Content-Length: 5": 2, "Transfer-Encoding: chunked": 2, "Content-Length: 0": 1} {
+		text := "HTTP/1.1 204 No Content\r\n" + line + "\r\n\r\n"
+		s := serve(t, false, text, text)
+		p := NewPool()
+		for range 2 {
+			body, err := exchange(p, s.address)
+			assert.NilError(t, err, line)
+			assert.Equal(t, body, "", line)
+		}
+		_, got := p.Stats()
+		assert.Equal(t, got, dials, line)
+		p.Close()
+	}
+}
+
 // TestConnectionReuse checks that a connection is reused only if the response ended
 // cleanly, the upstream did not ask to close it and its idle timeout has not passed.
 func TestConnectionReuse(t *testing.T) {
