Clients of the store, the cloud and daemons take only valid responses

A response of the store, the object store, the table service, the cloud API or a daemon whose status was 000, or with a blank in the name of a field or of a trailer, counted as a success. Written rows, results of calls, usage reports and orders were taken for stored or accepted, an empty table or a row that is not there for read, and lagoonctl apply said that a manifest was in force. A commit that the table service answered with status 000 and some bodies counted as having had no effect, so that a caller could be told "not run" of a call that had run. Callers got none of these bytes; they got what followed from them.

Cause: these calls go through fasthttp and net/http. fasthttp returns 200 for a status of 000, net/http passes 0 on, and both accept blanks in names. net/http writes a request beside reading the response, so that a response without a length to a large commit that was reset looked complete, as in egress.

internal/httpcheck wraps the connections of these clients, above TLS. It follows each response with the parsers of package framing, withholds the end of a head or of chunked coding that is not valid, and fails the read, so that every library fails the call, closes the connection and names the cause: "malformed response of ADDRESS: ...". At the end of a body without a length it looks at the write, as egress does. Six odd but valid responses, reuse with four kinds of bodies, and TLS are tested; FuzzConn checks that the verdict does not depend on how a response is split.

Daemons call each other over drpc, whose messages have lengths and are protobuf: there is no head in which to be lenient, and a message that ends early does not decode (TestEndlessDaemonMessage).

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lagoonmux/lagoonmux/internal/httpcheck"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/operator"
 	"github.com/lagoonmux/lagoonmux/internal/settings"
@@ -61,7 +62,9 @@
 // New returns a client of the daemon with the given operator address. It uses plain HTTP until
 // UseTLS is called.
 func New(address string, out io.Writer) *Client {
-	return &Client{address: address, scheme: "http://", out: out}
+	c := &Client{address: address, scheme: "http://", out: out}
+	c.http.Dial = httpcheck.Dial(fasthttp.Dial, nil)
+	return c
 }
 
 // UseTLS makes the client use HTTPS, present its certificate to the daemon and verify the daemon's.
@@ -71,7 +74,7 @@
 		return err
 	}
 	c.scheme = "https://"
-	c.http.TLSConfig = config
+	c.http.Dial = httpcheck.Dial(fasthttp.Dial, config)
 	return nil
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/fleet"
+	"github.com/lagoonmux/lagoonmux/internal/httpcheck"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/members"
 	"github.com/lagoonmux/lagoonmux/internal/platform/cloud"
@@ -126,6 +127,9 @@
 	return out
 }
 
+// orderClient sends orders to upstreams.
+var orderClient = &fasthttp.Client{Dial: httpcheck.Dial(fasthttp.Dial, nil)}
+
 // sendOrder implements fleet.SendOrder.
 func sendOrder(ctx context.Context, address string, o fleet.Order) error {
 	body, err := json.Marshal(o)
@@ -140,7 +144,7 @@
 	req.SetBodyRaw(body)
 	req.SetConnectionClose()
 	deadline, _ := ctx.Deadline()
-	if err := fasthttp.DoDeadline(req, resp, deadline); err != nil {
+	if err := orderClient.DoDeadline(req, resp, deadline); err != nil {
 		return errors.Wrapf(err, "post order to %s", address)
 	}
 	switch resp.StatusCode() {
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lagoonmux/lagoonmux/internal/httpcheck"
 	"github.com/lagoonmux/lagoonmux/internal/manifest"
 	"github.com/lagoonmux/lagoonmux/internal/members"
 	"github.com/lagoonmux/lagoonmux/internal/peer"
@@ -72,7 +73,7 @@
 	}
 	client := func() *fasthttp.Client {
 		return &fasthttp.Client{
-			Dial: dial, ReadTimeout: loadTimeout, WriteTimeout: loadTimeout, MaxResponseBodySize: maxLoadBytes,
+			Dial: httpcheck.Dial(dial, nil), ReadTimeout: loadTimeout, WriteTimeout: loadTimeout, MaxResponseBodySize: maxLoadBytes,
 			MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 		}
 	}
--- a/internal/platform/cloud/cloud.go
+++ b/internal/platform/cloud/cloud.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lagoonmux/lagoonmux/internal/httpcheck"
 	"github.com/lagoonmux/lagoonmux/internal/platform"
 )
 
@@ -82,7 +83,7 @@
 
 // New returns a client of the API at endpoint, which is a URL.
 func New(endpoint string) *Client {
-	return &Client{endpoint: endpoint, http: fasthttp.Client{MaxIdleConnDuration: 5 * time.Second}}
+	return &Client{endpoint: endpoint, http: fasthttp.Client{Dial: httpcheck.DialURL(endpoint), MaxIdleConnDuration: 5 * time.Second}}
 }
 
 // Close closes idle connections.
--- a/internal/platform/dynamo/dynamo.go
+++ b/internal/platform/dynamo/dynamo.go
@@ -20,6 +20,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/pkg/errors"
 
+	"github.com/lagoonmux/lagoonmux/internal/httpcheck"
 	"github.com/lagoonmux/lagoonmux/internal/platform"
 )
 
@@ -74,6 +75,7 @@
 		MaxConnsPerHost:     maxConnections,
 		IdleConnTimeout:     idleTimeout,
 	}
+	httpcheck.SetTransport(tr)
 	client := dynamodb.New(dynamodb.Options{
 		Region:       region,
 		BaseEndpoint: aws.String(o.Endpoint),
--- a/internal/platform/objects/objects.go
+++ b/internal/platform/objects/objects.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lagoonmux/lagoonmux/internal/httpcheck"
 	"github.com/lagoonmux/lagoonmux/internal/platform"
 )
 
@@ -30,6 +31,7 @@
 // New returns a client of the store at endpoint, which is a URL.
 func New(endpoint string) *Store {
 	return &Store{endpoint: endpoint, http: fasthttp.Client{
+		Dial:                     httpcheck.DialURL(endpoint),
 		NoDefaultUserAgentHeader: true,
 		MaxIdleConnDuration:      idleTimeout,
 		// No retries: a second attempt would double the time that the caller waits.
