A broken response is counted and logged with upstream, request and cause

On call, a malformed response showed only as lost in the tries of its request, and its cause only until a later attempt failed for another reason; a response that was broken off was logged without the error. In lagoonmux serve neither was logged, and an upstream that broke a response on a reused connection could be asked again at once, as if that connection had merely been stale.

egress returns a MalformedError for a response that is not valid HTTP. The platform's daemon logs "answer malformed" with id, upstream, service and error and counts lagoonmux_answers_malformed_total; "answer broken off" has an error too. A malformed response is no evidence for a quarantine: the upstream lives. lagoonmux serve logs "response broken" with request, service, upstream, attempt and error, at most 20 lines a second, counts broken in the dispatch statistics, and avoids that upstream in the retries of the call.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -115,6 +115,7 @@
 	d.cachePoller = newCachePoller(d.pool, d.router, log.Named("cache"))
 	d.ShareLimits(d.members)
 	dispatcher := dispatch.New(d.pool, d.router)
+	dispatcher.SetLog(log.Named("dispatch"))
 	dispatcher.SetOnLeaving(d.NotifyLeaving)
 	dispatcher.SetLeavingNotices(d.leaving)
 	backend := d.newBackend(dispatcher)
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
+	"github.com/lagoonmux/lagoonmux/internal/egress"
 	"github.com/lagoonmux/lagoonmux/internal/routing"
 	"github.com/lagoonmux/lagoonmux/internal/trace"
 	"github.com/lagoonmux/lagoonmux/internal/upstream"
@@ -31,6 +33,7 @@
 	Refused    bool          // the upstream refused it with the header field Lagoonmux-Refused
 	Leaving    bool          // refused because the upstream is leaving
 	Reused     bool          // sent on a connection that earlier requests had used
+	Broken     bool          // the response was malformed, incomplete or another request's
 	RetryAfter time.Duration // requested by the upstream; 0 for none
 	Err        error
 }
@@ -50,9 +53,27 @@
 		ae.MayHaveRun = ue.MaybeSent
 		ae.Reused = ue.Reused
 	}
+	ae.Broken = isBroken(err)
 	return ae
 }
 
+// isBroken reports whether err means that the upstream broke a response, or closed the connection
+// instead of sending one. That of a reused connection does not count: the upstream may have closed
+// it while it was idle.
+func isBroken(err error) bool {
+	var malformed *egress.MalformedError
+	if errors.As(err, &malformed) {
+		return true
+	}
+	var ue *upstream.Error
+	if errors.As(err, &ue) && (!ue.MaybeSent || ue.Step == upstream.StepWrite || ue.Step == upstream.StepReadHeader && ue.Reused) {
+		return false
+	}
+	var ne net.Error
+	var sink sinkError
+	return !(errors.As(err, &ne) && ne.Timeout()) && !errors.As(err, &sink) && !errors.Is(err, errMoved) && !errors.Is(err, net.ErrClosed)
+}
+
 // statusError returns an error for a response with status 429 or 5xx, otherwise
 // nil. With the header field Lagoonmux-Refused, 429 and 503 mean that the upstream
 // did not run the request.
@@ -106,7 +127,7 @@
 	}
 	// A reused connection may be dead although the upstream is fine, so that the
 	// upstream may be tried again, on a new connection.
-	if !err.Reused {
+	if !err.Reused || err.Broken {
 		s.tried = append(s.tried, err.Peer)
 	}
 }
@@ -181,6 +202,17 @@
 	}
 }
 
+// reportBroken counts an attempt that failed with a broken response, and logs it.
+func (d *Dispatcher) reportBroken(ctx context.Context, c *call.Call, number int, err *attemptError) {
+	if err == nil || !err.Broken || ctx.Err() != nil {
+		return
+	}
+	d.stats.broken.Add(1)
+	if d.logLimiter.Allow() {
+		d.log.Warn("response broken", "request", c.ID, "service", c.Service.Name, "upstream", err.Peer, "attempt", number, "error", err.Err)
+	}
+}
+
 // traceFailure adds a failed attempt to the trace.
 func (s *attempts) traceFailure(err *attemptError) {
 	s.call.Trace.Add(trace.Step{At: time.Now(), Name: "attempt-failed", Peer: err.Peer, Attempt: s.number, Detail: err.Err.Error()})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,7 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 
 	"github.com/lagoonmux/lagoonmux/internal/call"
 	"github.com/lagoonmux/lagoonmux/internal/completion"
@@ -19,7 +21,11 @@
 	"github.com/lagoonmux/lagoonmux/internal/upstream"
 )
 
-const maxResponseBytes = 16 << 20
+const (
+	maxResponseBytes  = 16 << 20
+	logLinesPerSecond = 20 // log lines about single attempts
+	logBurst          = 50
+)
 
 // Header fields of requests to upstreams and of their responses.
 const (
@@ -30,12 +36,14 @@
 
 // Dispatcher runs calls. Its methods may be called from any goroutine.
 type Dispatcher struct {
-	pool      *upstream.Pool
-	router    *routing.Router
-	canceler  *canceler
-	stats     counters
-	onLeaving func(upstream string) // may be nil
-	notices   LeavingNotices        // may be nil
+	pool       *upstream.Pool
+	router     *routing.Router
+	canceler   *canceler
+	stats      counters
+	log        hclog.Logger
+	logLimiter *rate.Limiter
+	onLeaving  func(upstream string) // may be nil
+	notices    LeavingNotices        // may be nil
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -51,13 +59,19 @@
 // router picks.
 func New(pool *upstream.Pool, router *routing.Router) *Dispatcher {
 	return &Dispatcher{
-		pool:     pool,
-		router:   router,
-		canceler: &canceler{pool: pool, slots: make(chan struct{}, maxCancels)},
-		services: make(map[string]*serviceState),
+		pool:       pool,
+		router:     router,
+		canceler:   &canceler{pool: pool, slots: make(chan struct{}, maxCancels)},
+		services:   make(map[string]*serviceState),
+		log:        hclog.NewNullLogger(),
+		logLimiter: rate.NewLimiter(logLinesPerSecond, logBurst),
 	}
 }
 
+// SetLog sets the log of attempts that failed with a broken response. It must be called before
+// the first call.
+func (d *Dispatcher) SetLog(log hclog.Logger) { d.log = log }
+
 // SetOnLeaving sets the function that is called with the name of an upstream each
 // time it refuses a call because it is leaving. SetOnLeaving must be called before
 // the first call; f must not block.
--- a/internal/dispatch/malformed_test.go
+++ b/internal/dispatch/malformed_test.go
@@ -1,13 +1,16 @@
 package dispatch_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
@@ -154,3 +157,38 @@
 		}
 	}
 }
+
+// TestBrokenResponsesAreLogged checks that the log line of a broken response names upstream, request
+// and cause, and that one of another kind of failure has none.
+func TestBrokenResponsesAreLogged(t *testing.T) {
+	for name, tt := range map[string]struct {
+		response, cause string
+	}{
+		"malformed":  {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", "status code"},
+		"broken off": {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "unexpected EOF"},
+		"status":     {"HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nno", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestService(t, 2, func(n int64, ctx *fasthttp.RequestCtx) {
+				if n == 1 {
+					respondRaw(ctx, tt.response, nil)
+					return
+				}
+				ctx.SetBodyString("found")
+			})
+			var log bytes.Buffer
+			f.SetLog(hclog.New(&hclog.LoggerOptions{Output: &log}))
+			_, err := f.Plain(context.Background(), f.call())
+			assert.NilError(t, err)
+			if tt.cause == "" {
+				assert.Equal(t, log.String(), "")
+				assert.Equal(t, f.Stats().Broken, int64(0))
+				return
+			}
+			for _, part := range []string{"response broken", "request=id1", "upstream=u", "attempt=1", tt.cause} {
+				assert.Assert(t, strings.Contains(log.String(), part), "%q lacks %q", log.String(), part)
+			}
+			assert.Equal(t, f.Stats().Broken, int64(1))
+		})
+	}
+}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -117,6 +117,7 @@
 	d.stats.attempts.Add(1)
 	c.Trace.Add(trace.Step{At: time.Now(), Name: trace.Attempt, Peer: a.Upstream.Name, Attempt: number})
 	resp, err := d.exchange(ctx, c, a.Upstream, newConn)
+	d.reportBroken(ctx, c, number, err)
 	a.Done(time.Now(), resultOf(ctx, err))
 	return resp, err
 }
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -4,13 +4,14 @@
 
 // counters holds the totals that Stats returns.
 type counters struct {
-	attempts, crossed, resumed, hedged, stalled, denied, moved, imported atomic.Int64
+	attempts, crossed, broken, resumed, hedged, stalled, denied, moved, imported atomic.Int64
 }
 
 // Stats holds totals since the Dispatcher was created.
 type Stats struct {
 	Attempts int64 `json:"attempts"`
 	Crossed  int64 `json:"crossed"`         // responses of other requests or attempts, which were dropped
+	Broken   int64 `json:"broken"`          // responses that were malformed, incomplete or another request's
 	Resumed  int64 `json:"resumed"`         // attempts that continued a partial response
 	Hedged   int64 `json:"hedged"`          // second, concurrent attempts of reads
 	Stalled  int64 `json:"silent"`          // attempts of streams that timed out
@@ -24,6 +25,7 @@
 	return Stats{
 		Attempts: d.stats.attempts.Load(),
 		Crossed:  d.stats.crossed.Load(),
+		Broken:   d.stats.broken.Load(),
 		Resumed:  d.stats.resumed.Load(),
 		Hedged:   d.stats.hedged.Load(),
 		Stalled:  d.stats.stalled.Load(),
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -76,6 +76,7 @@
 			return sinkErr.error
 		}
 		a.Done(time.Now(), resultOf(ctx, err))
+		d.reportBroken(ctx, c, s.number, err)
 		s.traceFailure(err)
 		s.recordFailure(err, resp.nextToken > before)
 		if !s.mayRetry(ctx, resp.nextToken > 0) {
--- a/internal/egress/conn.go
+++ b/internal/egress/conn.go
@@ -31,6 +31,22 @@
 // repeated.
 var ErrTimeout = errors.New("read timed out")
 
+// MalformedError means that a response is not valid HTTP, or exceeds a limit of its head.
+type MalformedError struct {
+	Address string // of the upstream
+	Err     error
+}
+
+// Error formats the address and the cause.
+func (e *MalformedError) Error() string {
+	return "malformed response of " + e.Address + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *MalformedError) Unwrap() error { return e.Err }
+
+func (c *Conn) malformed(err error) error { return &MalformedError{c.address, err} }
+
 // Conn is a connection that carries one exchange at a time. It is not safe for
 // concurrent use.
 type Conn struct {
@@ -90,18 +106,18 @@
 			return err
 		}
 		if err := c.parseHead(h, c.buf[:end]); err != nil {
-			return errors.Wrapf(err, "read response head of %s", c.address)
+			return c.malformed(err)
 		}
 		c.buf = c.buf[end:]
 		switch status := h.StatusCode(); {
 		case status == fasthttp.StatusSwitchingProtocols:
-			return errors.Errorf("read response head of %s: switches protocols without a request for it", c.address)
+			return c.malformed(errors.New("switches protocols without a request for it"))
 		case status >= 200:
 			c.allowUnread()
 			return nil
 		}
 	}
-	return errors.Errorf("read response head of %s: too many interim responses", c.address)
+	return c.malformed(errors.New("too many interim responses"))
 }
 
 // allowUnread lets an upstream that has begun to respond leave the rest of a large request
@@ -119,7 +135,7 @@
 			return i + len(framing.HeadEnd), nil
 		}
 		if len(c.buf) > maxHeadBytes {
-			return 0, errors.Errorf("read response head of %s: longer than %d bytes", c.address, maxHeadBytes)
+			return 0, c.malformed(errors.Errorf("head is longer than %d bytes", maxHeadBytes))
 		}
 		if err := c.fill(deadline); err != nil {
 			if err == io.EOF {
@@ -255,7 +271,7 @@
 		dst, used, err = c.decoder.Decode(dst, c.buf)
 		c.buf = c.buf[used:]
 		if err != nil {
-			return dst, errors.Wrapf(err, "read response body of %s", c.address)
+			return dst, c.malformed(err)
 		}
 		if !c.decoder.Done() {
 			return dst, nil
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -39,6 +39,7 @@
 	unansweredQuestions atomic.Int64                       // questions that no hub has answered
 	shed                map[shedKey]int64                  // requests that admission rejected
 	broken              map[quarantine.Stage]int64         // responses that upstreams broke off
+	malformed           atomic.Int64                       // responses that were not valid HTTP
 	retries             int64                              // sends beyond the first of each request
 	resumed             int64                              // streams that were resumed at another upstream
 	prefillTokens       int64                              // prompt tokens prefilled by upstreams for first attempts
@@ -153,7 +154,7 @@
 	for name, n := range map[string]int64{
 		"repeated_total": m.retries, "resumed_total": m.resumed, "prompt_tokens_read_total": m.prefillTokens,
 		"prompt_tokens_read_again_total": m.retryPrefillTokens, "series_left_out_total": m.uncountedRequests, "invariants_broken_total": invariant.BrokenCount(),
-		"questions_unanswered_total": m.unansweredQuestions.Load(),
+		"questions_unanswered_total": m.unansweredQuestions.Load(), "answers_malformed_total": m.malformed.Load(),
 	} {
 		lines = append(lines, fmt.Sprintf("lagoonmux_%s %d", name, n))
 	}
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -18,7 +18,13 @@
 func (n *Node) AnswerBroken(b proxy.BrokenAnswer) {
 	n.metrics.addBroken(b.Stage)
 	n.log.Info("answer broken off", "id", b.Request.ID, "upstream", b.Upstream.ID, "service", b.Service, "stage", b.Stage.String(),
-		"first_age_ms", b.Progress.Time.Milliseconds(), "events", b.Progress.Events, "content", strconv.FormatUint(b.Content, 16), "segments", proxy.FormatSegments(b.Request.SharedPrompt()))
+		"first_age_ms", b.Progress.Time.Milliseconds(), "events", b.Progress.Events, "content", strconv.FormatUint(b.Content, 16), "segments", proxy.FormatSegments(b.Request.SharedPrompt()), "error", b.Err)
+}
+
+// AnswerMalformed implements proxy.Observer.
+func (n *Node) AnswerMalformed(id, service string, u *roster.Upstream, err error) {
+	n.metrics.malformed.Add(1)
+	n.log.Warn("answer malformed", "id", id, "upstream", u.ID, "service", service, "error", err)
 }
 
 // AttemptEnded implements proxy.Observer.
--- a/internal/proxy/brokenanswer.go
+++ b/internal/proxy/brokenanswer.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lagoonmux/lagoonmux/internal/boottime"
+	"github.com/lagoonmux/lagoonmux/internal/egress"
 	"github.com/lagoonmux/lagoonmux/internal/quarantine"
 	"github.com/lagoonmux/lagoonmux/internal/roster"
 	"github.com/lagoonmux/lagoonmux/internal/routing/place"
@@ -32,6 +33,7 @@
 	// ended at any time.
 	Suspended bool
 	Progress  quarantine.Progress
+	Err       error // how the connection ended
 }
 
 // maxClockGap is how much the boot clock may run ahead of the monotonic clock, which stops
@@ -87,14 +89,21 @@
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// reportBroken notifies the observer if the upstream ended the connection before the
-// response was complete.
+// reportBroken notifies the observer if the response was malformed, or if the upstream ended
+// the connection before it was complete.
 func (a *attempt) reportBroken(ctx context.Context, res result, err error) {
-	if res != lost && res != broken || ctx.Err() != nil || !connectionEnded(err) {
+	if res != lost && res != broken || ctx.Err() != nil {
+		return
+	}
+	if malformed := (*egress.MalformedError)(nil); errors.As(err, &malformed) {
+		a.Observer.AnswerMalformed(a.req.ID, a.service.Name, a.choice.Upstream, malformed)
+		return
+	}
+	if !connectionEnded(err) {
 		return
 	}
 	b := BrokenAnswer{Request: a.req, Content: a.record.Content, Subjects: a.subjects, Service: a.service.Name, Upstream: a.choice.Upstream, SentAt: a.sentAt,
-		Progress: a.progress(boottime.Now())}
+		Progress: a.progress(boottime.Now()), Err: err}
 	b.Suspended = boottime.Now()-a.sentAt > time.Since(a.startTime)+maxClockGap
 	switch {
 	case a.responded:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -112,6 +112,9 @@
 	// AnswerBroken is called for each response that the upstream broke off by ending its
 	// connection.
 	AnswerBroken(b BrokenAnswer)
+	// AnswerMalformed is called for each response, to the request with an id, that is not valid
+	// HTTP.
+	AnswerMalformed(id, service string, u *roster.Upstream, err error)
 	// AttemptEnded is called once for each attempt of a request, at its first event or whole
 	// response or when it ends without one, and again if its stream breaks off later.
 	AttemptEnded(r AttemptReport)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,10 +33,19 @@
 	sweepInterval = time.Second
 )
 
+// Steps of an exchange, for Error.
+const (
+	StepEncode     = "encode"
+	StepDial       = "dial"
+	StepWrite      = "write"
+	StepReadHeader = "read header"
+	StepReadBody   = "read body"
+)
+
 // Error is the error of a failed exchange.
 type Error struct {
 	Address   string // of the upstream
-	Step      string // encode, dial, write, read header or read body
+	Step      string // StepEncode or another one
 	MaybeSent bool   // a byte of the request may have reached the upstream
 	Err       error
 
@@ -98,23 +107,23 @@
 	p.sweep(time.Now())
 	wire, err := encode(req)
 	if err != nil {
-		return nil, &Error{Address: address, Step: "encode", Err: err}
+		return nil, &Error{Address: address, Step: StepEncode, Err: err}
 	}
 	conn, err := p.getConn(ctx, address, o.NewConn)
 	if err != nil {
-		return nil, &Error{Address: address, Step: "dial", Err: err}
+		return nil, &Error{Address: address, Step: StepDial, Err: err}
 	}
 	if err := ctx.Err(); err != nil {
 		conn.Close()
-		return nil, &Error{Address: address, Step: "dial", Err: err}
+		return nil, &Error{Address: address, Step: StepDial, Err: err}
 	}
 	x := &Exchange{conn: conn, address: address, readDeadline: o.HeadDeadline}
 	x.body.x = x
 	if err := conn.Start(ctx, wire, nil); err != nil {
-		return nil, x.abort("write", err)
+		return nil, x.abort(StepWrite, err)
 	}
 	if err := conn.ReadHead(&x.Response.Header, x.readTimeout()); err != nil {
-		return nil, x.abort("read header", err)
+		return nil, x.abort(StepReadHeader, err)
 	}
 	if req.Header.IsHead() {
 		conn.ExpectNoBody()
@@ -206,7 +215,7 @@
 		err = errors.Errorf("response body exceeds %d bytes", limit)
 	}
 	if err != nil {
-		return nil, x.abort("read body", err)
+		return nil, x.abort(StepReadBody, err)
 	}
 	x.Finish()
 	return data, nil
