A response without a length is incomplete if its upstream vanished

A caller whose upstream vanished, without a reset, while it streamed a response without a length could get the part that had arrived as the complete stream, about 5 s later.

Cause: then the kernel gives the connection up (keep-alive probes, or sent bytes unacknowledged) and reports ETIMEDOUT, once. net.Error calls that a timeout, so egress returned ErrTimeout, which allows another read. The relay of streams reads again, and got io.EOF, the end of the body.

Evidence: TestVanishedUpstream, a connection that fails so: "hello" ended with EOF before this change. A loopback address that vanishes cannot be had without root, so the connection is a stand-in.

Only a read whose own deadline passed is a timeout now (os.ErrDeadlineExceeded). Any other error fails the attempt, and lagoonmux serve logs it as a broken response.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"time"
 
@@ -69,9 +70,8 @@
 	if errors.As(err, &ue) && (!ue.MaybeSent || ue.Step == upstream.StepWrite || ue.Step == upstream.StepReadHeader && ue.Reused) {
 		return false
 	}
-	var ne net.Error
 	var sink sinkError
-	return !(errors.As(err, &ne) && ne.Timeout()) && !errors.As(err, &sink) && !errors.Is(err, errMoved) && !errors.Is(err, net.ErrClosed)
+	return !errors.As(err, &sink) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, errMoved) && !errors.Is(err, net.ErrClosed)
 }
 
 // statusError returns an error for a response with status 429 or 5xx, otherwise
--- a/internal/egress/pool.go
+++ b/internal/egress/pool.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -177,8 +177,6 @@
 	return open, p.dials
 }
 
-// isTimeout reports whether a read failed because its deadline passed.
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
-}
+// isTimeout reports whether a read failed because its deadline passed. net.Error also calls
+// ETIMEDOUT a timeout, with which the kernel gives a connection up.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/internal/egress/upload_test.go
+++ b/internal/egress/upload_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 
@@ -187,3 +190,47 @@
 		}
 	}
 }
+
+// deadConn is a connection that the kernel gave up because the peer vanished, after it had sent text.
+type deadConn struct {
+	net.Conn
+	text     string
+	reported bool
+}
+
+func (c *deadConn) Read(p []byte) (int, error) {
+	switch {
+	case c.text != "":
+		n := copy(p, c.text)
+		c.text = c.text[n:]
+		return n, nil
+	case !c.reported:
+		c.reported = true
+		return 0, &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+	}
+	return 0, io.EOF // the kernel reports an error once
+}
+
+func (c *deadConn) Write(p []byte) (int, error)      { return len(p), nil }
+func (c *deadConn) SetDeadline(time.Time) error      { return nil }
+func (c *deadConn) SetReadDeadline(time.Time) error  { return nil }
+func (c *deadConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *deadConn) Close() error                     { return nil }
+
+// TestVanishedUpstream reads a response without a length, again after each timeout of a read, from an
+// upstream that vanishes within it. What has arrived is not complete.
+func TestVanishedUpstream(t *testing.T) {
+	p := NewPool()
+	assert.Assert(t, p.reserveSlot("x", 1))
+	c := &Conn{pool: p, address: "x", nc: &deadConn{text: "HTTP/1.1 200 OK\r\n\r\nhello"}}
+	defer c.Close()
+	assert.NilError(t, c.Start(context.Background(), []byte(request), nil))
+	var h fasthttp.ResponseHeader
+	assert.NilError(t, c.ReadHead(&h, time.Second))
+	var body []byte
+	var err error
+	for err == nil || err == ErrTimeout {
+		body, err = c.ReadBody(body, time.Second)
+	}
+	assert.Assert(t, errors.Is(err, syscall.ETIMEDOUT), "%q ends with %v", body, err)
+}
