Tests: one stand-in for responses that are reset during an upload

In httpcheck the field that makes fasthttp report an error is named for what it does, and the scheme of a URL may be in capitals.

--- a/internal/httpcheck/dial.go
+++ b/internal/httpcheck/dial.go
@@ -20,19 +20,19 @@
 			return nil, err
 		}
 		if config == nil {
-			return &Conn{Conn: nc, fast: true}, nil
+			return &Conn{Conn: nc, byteFirst: true}, nil
 		}
 		c, err := clientTLS(nc, address, config)
 		if err != nil {
 			return nil, err
 		}
-		return &tlsConn{&Conn{Conn: c, fast: true}, c}, nil
+		return &tlsConn{&Conn{Conn: c, byteFirst: true}, c}, nil
 	}
 }
 
 // DialURL returns a dial function for a fasthttp client of the server with a URL.
 func DialURL(url string) fasthttp.DialFunc {
-	if strings.HasPrefix(url, "https://") {
+	if strings.HasPrefix(strings.ToLower(url), "https://") {
 		return Dial(fasthttp.Dial, &tls.Config{MinVersion: tls.VersionTLS12})
 	}
 	return Dial(fasthttp.Dial, nil)
--- a/internal/standin/broken/broken.go
+++ b/internal/standin/broken/broken.go
@@ -9,10 +9,16 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/lagoonmux/lagoonmux/internal/loopback"
 )
 
+const (
+	firstReadBytes = 1024                  // of a request that is not read to its end
+	resetPause     = 20 * time.Millisecond // between a response and the reset of its connection
+)
+
 // Responses returns broken responses with a body, by what is wrong with them.
 func Responses(body string) map[string]string {
 	const ok = "HTTP/1.1 200 OK\r\n"
@@ -62,6 +68,24 @@
 // connection. It returns the address at which it listens, on the loopback interface, until stop is
 // called.
 func Serve(response string) (address string, stop func(), err error) {
+	return serve(func(c *net.TCPConn) { respond(c, response) })
+}
+
+// ServeReset is like Serve, but sends the response before it has read a request's body, and soon
+// after resets the connection.
+func ServeReset(response string) (address string, stop func(), err error) {
+	return serve(func(c *net.TCPConn) {
+		if _, err := c.Read(make([]byte, firstReadBytes)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, response)
+		time.Sleep(resetPause)
+		_ = c.SetLinger(0)
+	})
+}
+
+// serve calls handle for each connection, and closes it afterwards.
+func serve(handle func(c *net.TCPConn)) (address string, stop func(), err error) {
 	address, err = loopback.Address()
 	if err != nil {
 		return "", nil, err
@@ -76,14 +100,18 @@
 			if err != nil {
 				return
 			}
-			go respond(c, response)
+			go func() {
+				defer c.Close()
+				if tcp, ok := c.(*net.TCPConn); ok {
+					handle(tcp)
+				}
+			}()
 		}
 	}()
 	return address, func() { _ = l.Close() }, nil
 }
 
 func respond(c net.Conn, response string) {
-	defer c.Close()
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
