--- a/internal/standin/site/early.go
+++ b/internal/standin/site/early.go
@@ -15,6 +15,7 @@
 const (
 	ResetUnread EarlyEnd = iota // resets the connection and never reads the body
 	HalfClose                   // ends its side of the connection in order, reads the body and closes
+	EndUnread                   // ends the upstream as a crash does, which resets the connection
 	ReadLater                   // reads the body and keeps the connection open
 )
 
@@ -69,6 +70,11 @@
 	case ResetUnread:
 		_ = tcp.SetLinger(0)
 		return true
+	case EndUnread:
+		_ = tcp.SetLinger(0)
+		_ = tcp.Close()
+		u.End()
+		return true
 	case HalfClose:
 		_ = tcp.CloseWrite()
 	case ReadLater:
