Upstreams that fall silent under a request are evidence against it

A request, or a prompt segment, that makes each upstream fall silent was sent on for ever: callers waited until their deadline, and the upstreams were lost one after the other.

Cause: only connections that the upstream ended, at an address that then refuses connections, were evidence (proxy.reportBroken, node.hasEnded). A VM that freezes or loses power ends none.

Silence alone proves nothing, so an upstream has ended only if - a request waits, also one that was given up, and nothing arrived on any connection for a second, - it does not respond to a check over a new connection, and - it does not respond to another daemon either, or the store has removed its entry. The end counts if the upstream had sent something at most 300 ms before the request, to this daemon or the one that was asked. Otherwise it is doubtful: then later requests with the subject go only to upstreams that send or respond to a check, so that the next end is not. Upstreams that fall silent together are no evidence, as before. If one sends again, in the same incarnation, its end is withdrawn at all daemons. In messages such ends have a field of their own that older builds ignore.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -96,6 +96,8 @@
 	MaxConns int      // connections that one upstream accepts from all daemons together
 	Engine   *Engine  // nil for a plain service
 	Scaling  *Scaling // nil if no upstreams are ordered
+	// HealthPath is the path of health checks; empty if the configuration names none.
+	HealthPath string
 
 	// Summary of the routes to the service, set by Build.
 	MinLatencyTarget time.Duration // shortest target; 0 if no route has one
--- a/internal/mesh/arbiter.go
+++ b/internal/mesh/arbiter.go
@@ -42,6 +42,32 @@
 	return address, self || address == ""
 }
 
+// Witness returns the address of another reachable daemon, one in another availability zone if there
+// is one, that can tell whether an upstream responds; empty if there is none. Each turn may return
+// another one. A member's witness is its hub.
+func (m *Mesh) Witness(upstream uint64, turn int) (address string) {
+	now := boottime.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.role == Member {
+		if p := m.peers[m.hub]; p != nil {
+			return p.Daemon.Address
+		}
+		return ""
+	}
+	best, elsewhere := uint64(0), false
+	for _, p := range m.peers {
+		other := p.Daemon.Zone != m.Self.Zone
+		if !m.mayArbitrate(p, now) || elsewhere && !other {
+			continue
+		}
+		if score := arbiterScore(p.id, upstream+uint64(turn)); score > best || other && !elsewhere {
+			best, elsewhere, address = score, other, p.Daemon.Address
+		}
+	}
+	return address
+}
+
 // mayArbitrate reports whether a daemon is reachable, not leaving and, in a deployment with
 // hubs, a hub. The caller holds mu.
 func (m *Mesh) mayArbitrate(p *Peer, now time.Duration) bool {
--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -17,6 +17,12 @@
 			Survived: s.Survived, SurvivalAgeMs: s.SurvivalAge.Milliseconds(), ProgressMs: s.Progress.Time.Milliseconds(), Events: uint32(s.Progress.Events)}
 		for _, e := range s.Ends {
 			end := &meshpb.UpstreamEnd{Upstream: e.Upstream, SentAgeMs: uint32(e.SentAge.Milliseconds()), AgeMs: uint32(e.Age.Milliseconds())}
+			if e.Silent {
+				end.BeforeHead, end.Doubtful, end.Withdrawn = e.Stage == quarantine.BeforeHead, e.Doubtful, e.Withdrawn
+				end.AfterEvent, end.ProgressMs, end.Events = e.Stage == quarantine.AfterEvent, uint32(e.Progress.Time.Milliseconds()), uint32(e.Progress.Events)
+				out[i].SilentEnds = append(out[i].SilentEnds, end)
+				continue
+			}
 			if isEarly(s.Subject, e.Stage) {
 				out[i].Ends = append(out[i].Ends, end)
 				continue
@@ -52,6 +58,18 @@
 			}
 			out[i].Ends = append(out[i].Ends, decodeEnd(e, stage))
 		}
+		for _, e := range s.SilentEnds {
+			stage := quarantine.BeforeEvent
+			switch {
+			case e.AfterEvent:
+				stage = quarantine.AfterEvent
+			case e.BeforeHead:
+				stage = quarantine.BeforeHead
+			}
+			end := decodeEnd(e, stage)
+			end.Silent, end.Doubtful, end.Withdrawn = true, e.Doubtful, e.Withdrawn
+			out[i].Ends = append(out[i].Ends, end)
+		}
 	}
 	return out
 }
--- a/internal/node/limiter.go
+++ b/internal/node/limiter.go
@@ -92,6 +92,8 @@
 		return n.quarantine.answer(ctx, q, true)
 	case q.Upstream != 0:
 		return n.throttle.answer(ctx, q)
+	case q.Silent != 0:
+		return n.silence.answer(q)
 	case q.Customer == "":
 		return &meshpb.Answer{Ok: n.retryBudget.AllowLocalRetry(q.Service, now)}
 	case q.Cost < 0:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,9 @@
 	DecodeConfig   func(data []byte) (*catalog.Config, error)
 	DecodeUpstream func(id string, data []byte, version int64) (*roster.Upstream, error)
 	ReadyPath      string // of readiness checks
+	// EncodeCheck returns a request that asks an upstream of a service whether it works. A working
+	// one responds without running anything.
+	EncodeCheck func(s *catalog.Service, u *roster.Upstream) []byte
 
 	// DecodeRollout decodes a row of ConfigTable as the order of a roll-out. It returns nil for
 	// other rows.
@@ -136,6 +139,7 @@
 	quota        *quota.Limiter
 	throttle     *upstreamThrottle
 	quarantine   *segmentQuarantine
+	silence      *silenceMonitor
 	retryBudget  *proxy.RetryBudget
 	workMeter    *proxy.WorkMeter
 	shares       *admission.Shares
@@ -185,6 +189,7 @@
 	n.limiter = &limiter{n}
 	n.throttle = newUpstreamThrottle(n)
 	n.quarantine = newSegmentQuarantine(n)
+	n.silence = newSilenceMonitor(n)
 	n.retryBudget.AskHub = n.limiter.askHubRetry
 	n.rollouts = newRollouts(n)
 	n.grace.Store(int64(s.Grace))
@@ -195,6 +200,7 @@
 		Quota:         n.limiter,
 		Throttle:      n.throttle,
 		Quarantine:    n.quarantine,
+		Silence:       n.silence.watch,
 		Cohorts:       n.rollouts.cohorts(),
 		Pool:          n.pool,
 		Budget:        n.retryBudget,
@@ -392,6 +398,7 @@
 		case <-ticker.C:
 		}
 		n.updateCounts()
+		n.silence.tick(ctx)
 		n.quarantine.tick()
 		n.rollouts.tick()
 		for _, name := range n.mesh.Unreachable() {
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -25,6 +25,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/proxy"
 	"github.com/lagoonmux/lagoonmux/internal/quarantine"
 	"github.com/lagoonmux/lagoonmux/internal/roster"
+	"github.com/lagoonmux/lagoonmux/internal/silence"
 	"github.com/lagoonmux/lagoonmux/internal/throttle"
 	"github.com/lagoonmux/lagoonmux/internal/views"
 )
@@ -174,13 +175,35 @@
 	}
 	q.ended.Add(1)
 	end := quarantine.End{Upstream: throttle.Hash(b.Upstream.Key()), SentAt: b.SentAt, At: at, Stage: b.Stage, Progress: b.Progress}
-	repeated, effects, changes := q.table.Ended(b.Subjects, end, boottime.Now())
-	fields := []any{"upstream", b.Upstream.ID, "born", b.Upstream.Incarnation, "hash", strconv.FormatUint(end.Upstream, 16), "id", b.Request.ID,
-		"service", b.Service, "stage", b.Stage.String(), "progress_ms", end.Progress.Time.Milliseconds(), "events", end.Progress.Events, "run_ms", (at - b.SentAt).Milliseconds(),
-		"content", strconv.FormatUint(b.Content, 16), "may_rerun", !repeated}
+	return !q.record(b.Upstream, silence.Request{ID: b.Request.ID, Service: b.Service, Content: b.Content, Subjects: b.Subjects}, end)
+}
+
+// recordSilence records that an upstream fell silent under a request.
+func (q *segmentQuarantine) recordSilence(u *roster.Upstream, w silence.Waiting) {
+	q.ended.Add(1)
+	q.record(u, w.Request, w.End)
+}
+
+// record records the end of an upstream under a request, and reports whether one of the request's
+// subjects may well be the cause.
+func (q *segmentQuarantine) record(u *roster.Upstream, r silence.Request, end quarantine.End) (repeated bool) {
+	repeated, effects, changes := q.table.Ended(r.Subjects, end, boottime.Now())
+	fields := []any{"upstream", u.ID, "born", u.Incarnation, "hash", strconv.FormatUint(end.Upstream, 16), "id", r.ID,
+		"service", r.Service, "stage", end.Stage.String(), "progress_ms", end.Progress.Time.Milliseconds(), "events", end.Progress.Events, "run_ms", (end.At - end.SentAt).Milliseconds(),
+		"content", strconv.FormatUint(r.Content, 16), "silent", end.Silent, "may_rerun", !repeated}
 	q.node.log.Warn("upstream ended under a request", append(fields, effectFields(effects)...)...)
 	q.log(changes, q.node.Name)
-	return !repeated
+	return repeated
+}
+
+// withdraw voids the silent end of an upstream that sends again, given by its hash.
+func (q *segmentQuarantine) withdraw(upstream uint64) {
+	q.log(q.table.Withdraw(upstream, boottime.Now()), q.node.Name)
+}
+
+// Responds implements proxy.Quarantine.
+func (q *segmentQuarantine) Responds(ctx context.Context, u *roster.Upstream, subjects []quarantine.Subject) bool {
+	return !q.table.HasSilentEnds(subjects) || q.node.silence.mayGet(ctx, u)
 }
 
 func (q *segmentQuarantine) logNoEvidence(b proxy.BrokenAnswer, reason string) {
@@ -191,7 +214,7 @@
 // counts, and why not against the others.
 func effectFields(effects []quarantine.Effect) (fields []any) {
 	names := [...]string{quarantine.Evidence: "evidence_for", quarantine.WasAnswered: "answered", quarantine.WasOutlived: "outlived",
-		quarantine.WasKnown: "known_for", quarantine.Dropped: "dropped_for"}
+		quarantine.WasKnown: "known_for", quarantine.Dropped: "dropped_for", quarantine.WasWithdrawn: "withdrawn_for", quarantine.Doubted: "doubted_for"}
 	for kind, name := range names {
 		var ids []string
 		for _, e := range effects {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -74,6 +74,7 @@
 		n.writeGauges(c)
 		n.throttle.writeMetrics(c)
 		n.quarantine.writeMetrics(c)
+		n.silence.writeMetrics(c)
 		n.writeShareMetrics(c)
 		n.rollouts.writeMetrics(c)
 		n.writeTableMetrics(c)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/membudget"
 	"github.com/lagoonmux/lagoonmux/internal/quarantine"
 	"github.com/lagoonmux/lagoonmux/internal/routing/place"
+	"github.com/lagoonmux/lagoonmux/internal/silence"
 )
 
 // result is how an attempt, or a whole request, ended.
@@ -89,12 +90,13 @@
 	received       []byte        // of the body and not relayed yet
 	receivedAll    bool          // received ends with the end of the body
 	reserved       membudget.Reservation
-	responded      bool          // the first event or the complete response arrived
-	firstAt        time.Duration // boot time at which it did
-	answerReported bool          // see reportAnswer
-	progressAt     time.Duration // boot time of the last report of the response's progress
-	events         int           // of the stream that were relayed
-	connsExhausted bool          // no connection was available within the upstream's limit
+	responded      bool              // the first event or the complete response arrived
+	firstAt        time.Duration     // boot time at which it did
+	answerReported bool              // see reportAnswer
+	progressAt     time.Duration     // boot time of the last report of the response's progress
+	events         int               // of the stream that were relayed
+	connsExhausted bool              // no connection was available within the upstream's limit
+	pending        *silence.Exchange // nil if the request was not sent
 }
 
 // newAttempt returns an attempt at a chosen upstream.
@@ -149,6 +151,10 @@
 		conn.Release() // the upstream stopped accepting requests during the dial
 		return a.applyContext(ctx, unsent), errNotAccepting
 	}
+	if !a.Quarantine.Responds(ctx, a.choice.Upstream, a.subjects) {
+		conn.Release()
+		return a.applyContext(ctx, unsent), errSilent
+	}
 	if err := a.acquirePermit(ctx); err != nil {
 		conn.Release()
 		return a.applyContext(ctx, throttled), err
@@ -178,6 +184,7 @@
 	}
 	a.sends++
 	a.sentAt = boottime.Now()
+	a.pending = a.Silence.Begin(a.choice.Upstream, silence.Request{ID: a.req.ID, Service: a.service.Name, Content: a.record.Content, Subjects: a.subjects}, a.sentAt)
 	a.isFirst = a.sends == 1
 	a.continues = a.stream.started
 	a.setFallback(a.retryLeft())
@@ -202,6 +209,7 @@
 	}
 	a.reserved.Release()
 	a.reportBroken(ctx, res, err)
+	a.endExchange(res, err)
 	switch res {
 	case done:
 		a.conn.Release()
@@ -353,6 +361,21 @@
 	a.Quarantine.Progressed(a.subjects, a.progress(now))
 }
 
+// markReceived records that bytes of the response have arrived.
+func (a *attempt) markReceived() { a.pending.Received(boottime.Now()) }
+
+// endExchange records that the upstream owes the request nothing more, or that the request was
+// given up while the upstream did.
+func (a *attempt) endExchange(res result, err error) {
+	malformed := (*egress.MalformedError)(nil)
+	switch {
+	case res == done, res == refused, res == misplaced, errors.As(err, &malformed), connectionEnded(err):
+		a.Silence.Complete(a.pending)
+	default:
+		a.Silence.GiveUp(a.pending, boottime.Now())
+	}
+}
+
 // progress returns how far the response has come.
 func (a *attempt) progress(now time.Duration) quarantine.Progress {
 	if !a.responded {
--- a/internal/proxy/await.go
+++ b/internal/proxy/await.go
@@ -83,6 +83,7 @@
 		return lost, err
 	}
 	a.headArrived = true
+	a.markReceived()
 	a.info = a.Codec.DecodeResponse(&a.head)
 	a.applyUpstreamState()
 	if res, err := a.checkHead(); res != done {
@@ -203,6 +204,9 @@
 		if body, err = a.conn.ReadBody(body, max(time.Until(a.deadline), minTimeLeft)); len(body) > maxBufferedBytes {
 			return nil, errors.Errorf("response is longer than %d bytes", maxBufferedBytes)
 		}
+		if err == nil || err == io.EOF {
+			a.markReceived()
+		}
 		if rerr := a.reserved.Grow(ctx, cap(body)); rerr != nil {
 			return nil, errors.Wrapf(rerr, "reserve memory for a response of more than %d bytes", len(body))
 		}
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -352,6 +352,7 @@
 	r.losers.Go(func() {
 		<-waiting
 		a.conn.Close()
+		a.Silence.GiveUp(a.pending, boottime.Now())
 		a.attempt.reserved.Release()
 	})
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -35,6 +35,7 @@
 	"github.com/lagoonmux/lagoonmux/internal/quota"
 	"github.com/lagoonmux/lagoonmux/internal/roster"
 	"github.com/lagoonmux/lagoonmux/internal/routing/place"
+	"github.com/lagoonmux/lagoonmux/internal/silence"
 )
 
 // Request is a request as decoded by a Codec.
@@ -156,6 +157,10 @@
 	Broken(ctx context.Context, b BrokenAnswer) (mayRerun bool)
 	// Completed records a whole response with a success status.
 	Completed(subjects []quarantine.Subject)
+	// Responds reports whether an upstream may get a request with the subjects. If upstreams fell
+	// silent under one of them, the upstream must be known to respond now: if it falls silent
+	// too, that is not by chance.
+	Responds(ctx context.Context, u *roster.Upstream, subjects []quarantine.Subject) bool
 	// HasEvidence reports whether there is evidence against one of the subjects.
 	HasEvidence(subjects []quarantine.Subject) bool
 	// Progressed records that a response still goes on.
@@ -169,6 +174,7 @@
 	Quota      Limiter
 	Throttle   Throttle
 	Quarantine Quarantine
+	Silence    *silence.Watch
 	Cohorts    Cohorts // nil if versions are not rolled out by order
 	Pool       *egress.Pool
 	Budget     *RetryBudget
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -129,6 +129,9 @@
 		data, err := a.conn.ReadBody(pending, wait)
 		if err != egress.ErrTimeout {
 			a.Placer.MarkActive(a.choice.Upstream.Key(), boottime.Now())
+			if err == nil || err == io.EOF {
+				a.markReceived()
+			}
 			return data, err
 		}
 		left = time.Until(a.deadline)
@@ -157,6 +160,7 @@
 	}
 	a.recordFirst()
 	a.events += bytes.Count(events, eventEnd)
+	a.pending.Progressed(a.events, a.firstAt)
 	a.reportProgress()
 	if !a.stream.started {
 		a.stream.started = true
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -25,10 +25,39 @@
 	At       time.Duration
 	Stage    Stage
 	Progress Progress
+	// Silent is set if the upstream only stopped sending. It may have been frozen or cut off.
+	Silent bool
+	// Doubtful is set if a silent upstream may have stopped before the request was sent.
+	Doubtful bool
+	// Withdrawn is set if a silent upstream has sent something since.
+	Withdrawn bool
 
 	shared bool // something else ended several upstreams at the time
 }
 
+// counts reports whether the end is evidence. A doubtful one only makes later requests with
+// the subject go to upstreams that are known to respond.
+func (e End) counts() bool { return !e.Doubtful && !e.Withdrawn }
+
+// merge returns what two statements about the end of one upstream under one subject amount to.
+// Of several requests that were open there, the one that had come furthest counts.
+func (e End) merge(o End) End {
+	switch {
+	case e.Withdrawn && !o.Withdrawn && o.At > e.At+clearMargin:
+		return o // it has sent something, and ended later
+	case o.Withdrawn && !e.Withdrawn && e.At > o.At+clearMargin:
+		return e
+	}
+	m := e
+	if o.Progress.Time > e.Progress.Time {
+		m = o
+	}
+	m.Silent = e.Silent && o.Silent
+	m.Doubtful = e.Doubtful && o.Doubtful
+	m.Withdrawn = m.Silent && (e.Withdrawn || o.Withdrawn)
+	return m
+}
+
 // runTime returns the time from sending the request to the end.
 func (e End) runTime() time.Duration { return e.At - e.SentAt }
 
@@ -54,11 +83,13 @@
 
 // Kinds of effects.
 const (
-	Evidence    EffectKind = iota // it counts against the subject
-	WasAnswered                   // it is void: a request with the subject was answered
-	WasOutlived                   // it is void: a response with the subject came further
-	WasKnown                      // the end is known from another request with the subject
-	Dropped                       // there is no room for it, or it is too old
+	Evidence     EffectKind = iota // it counts against the subject
+	WasAnswered                    // it is void: a request with the subject was answered
+	WasOutlived                    // it is void: a response with the subject came further
+	WasKnown                       // the end is known from another request with the subject
+	Dropped                        // there is no room for it, or it is too old
+	WasWithdrawn                   // it is void: the upstream has sent something since
+	Doubted                        // it does not count: the upstream may have been silent before
 )
 
 // effect returns what an end means for the subject.
@@ -74,35 +105,61 @@
 	return Evidence
 }
 
-// add adds an end unless it is known or void. Of several requests that were open at the
-// upstream, the one that had come furthest counts.
+// add adds an end unless it is known or void.
 func (e *suspect) add(end End, now time.Duration) (EffectKind, []Change) {
 	if kind := e.effect(end, now); kind != Evidence {
 		return kind, nil
 	}
 	i := slices.IndexFunc(e.ends, func(o End) bool { return o.Upstream == end.Upstream })
-	switch {
-	case i >= 0 && end.Progress.Time <= e.ends[i].Progress.Time:
-		return WasKnown, nil
-	case i >= 0:
-		e.ends[i] = end
-	case len(e.ends) == maxEnds:
+	if i < 0 && len(e.ends) == maxEnds {
 		return Dropped, nil
 	}
-	first := !e.hasEvidence()
-	if first {
-		e.receivedAt = now
-	}
+	first := !e.hasEvidence() && !end.Withdrawn
 	if i < 0 {
 		e.ends = append(e.ends, end)
+	} else {
+		merged := e.ends[i].merge(end)
+		merged.shared = e.ends[i].shared
+		if merged == e.ends[i] {
+			return WasKnown, nil
+		}
+		e.ends[i] = merged
+		end = merged
 	}
 	slices.SortFunc(e.ends, func(a, b End) int { return int(a.At - b.At) })
 	e.changedAt = now
-	changes := e.trial.recordEnd(e, end)
+	var changes []Change
 	if first {
+		e.receivedAt = now
 		changes = append(changes, e.change(Suspected))
 	}
-	return Evidence, changes
+	switch {
+	case end.Withdrawn:
+		return WasWithdrawn, append(changes, e.releaseIfUnfounded()...)
+	case end.Doubtful:
+		return Doubted, changes
+	}
+	return Evidence, append(e.trial.recordEnd(e, end), changes...)
+}
+
+// withdraw voids the silent end of an upstream that has sent something since, and ends the
+// quarantine if it rests on such ends alone.
+func (e *suspect) withdraw(upstream uint64, now time.Duration) []Change {
+	i := slices.IndexFunc(e.ends, func(o End) bool { return o.Upstream == upstream && o.Silent && !o.Withdrawn })
+	if i < 0 {
+		return nil
+	}
+	e.ends[i].Withdrawn = true
+	e.changedAt = now
+	return e.releaseIfUnfounded()
+}
+
+// releaseIfUnfounded ends the quarantine if all ends that this daemon knows were withdrawn.
+func (e *suspect) releaseIfUnfounded() []Change {
+	if e.since == 0 || len(e.ends) == 0 || slices.ContainsFunc(e.ends, func(o End) bool { return !o.Withdrawn }) {
+		return nil
+	}
+	return e.clear(e.since)
 }
 
 // narrow drops the companions that a request with e did not have when it ended an upstream.
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -47,6 +47,9 @@
 	SentAge, Age time.Duration
 	Stage        Stage
 	Progress     Progress
+	Silent       bool
+	Doubtful     bool
+	Withdrawn    bool
 }
 
 // Statements returns what to tell another daemon: all, or what changed recently and, in
@@ -102,7 +105,7 @@
 		s.TrialAge = max(now-e.trial.at, time.Millisecond)
 	}
 	for _, end := range e.ends {
-		s.Ends = append(s.Ends, EndAge{end.Upstream, now - end.SentAt, now - end.At, end.Stage, end.Progress})
+		s.Ends = append(s.Ends, EndAge{end.Upstream, now - end.SentAt, now - end.At, end.Stage, end.Progress, end.Silent, end.Doubtful, end.Withdrawn})
 	}
 	return s
 }
@@ -131,7 +134,7 @@
 	bad := s.Service == "" || s.Cleared && s.ClearedAge < -2*clearMargin || s.QuarantineAge < 0 || s.TrialAge < 0 || s.Ended < 0 || s.Trials < 0 ||
 		s.Survived && (s.SurvivalAge < 0 || s.Progress.isMalformed())
 	for _, end := range s.Ends {
-		bad = bad || end.Age < 0 || end.SentAge < end.Age || end.Progress.isMalformed() || end.Progress.Time > end.SentAge-end.Age+runTimeError
+		bad = bad || (end.Doubtful || end.Withdrawn) && !end.Silent || end.Age < 0 || end.SentAge < end.Age || end.Progress.isMalformed() || end.Progress.Time > end.SentAge-end.Age+runTimeError
 	}
 	return bad
 }
@@ -150,7 +153,8 @@
 		changes = append(changes, e.outlive(survived, now)...)
 	}
 	for _, a := range s.Ends {
-		end := End{Upstream: a.Upstream, SentAt: now - a.SentAge, At: now - a.Age, Stage: a.Stage, Progress: a.Progress}
+		end := End{Upstream: a.Upstream, SentAt: now - a.SentAge, At: now - a.Age, Stage: a.Stage, Progress: a.Progress,
+			Silent: a.Silent, Doubtful: a.Doubtful, Withdrawn: a.Withdrawn}
 		kind, more := e.add(end, now)
 		if kind == WasAnswered && (!s.Cleared || now-s.ClearedAge < end.At) || kind == WasOutlived && !survived.voids(end) {
 			e.changedAt = now // the other daemon must learn that its evidence is void
--- a/internal/quarantine/explain.go
+++ b/internal/quarantine/explain.go
@@ -18,17 +18,21 @@
 	// without the subject.
 	sharedEnds   = 4
 	sharedWindow = 200 * time.Millisecond
+	// silentWindow is the same for upstreams that fell silent. That is known only as exactly as
+	// they were sending before.
+	silentWindow = 500 * time.Millisecond
 	// runTimeError bounds the error of the difference of two ages from a message.
 	runTimeError = 2 * time.Millisecond
 )
 
 // counted returns the ends without those at a clearly earlier point than another one, since the
-// response under which that upstream ended had outlived them, and without shared ones.
+// response under which that upstream ended had outlived them, and without shared, doubtful and
+// withdrawn ones.
 func (e *suspect) counted() []End {
 	list := make([]End, 0, len(e.ends))
 	for _, end := range e.ends {
-		outlived := func(o End) bool { return end.Progress.clearlyBefore(o.Progress) }
-		if !end.shared && !slices.ContainsFunc(e.ends, outlived) {
+		outlived := func(o End) bool { return o.counts() && end.Progress.clearlyBefore(o.Progress) }
+		if end.counts() && !end.shared && !slices.ContainsFunc(e.ends, outlived) {
 			list = append(list, end)
 		}
 	}
@@ -62,7 +66,9 @@
 			continue
 		}
 		for _, end := range o.ends {
-			others[end.Upstream] = end.At
+			if !end.Withdrawn {
+				others[end.Upstream] = end.At
+			}
 		}
 	}
 	for _, end := range e.ends {
@@ -84,7 +90,11 @@
 	}
 	others := t.otherEnds(e)
 	for i := range e.ends {
-		e.ends[i].shared = countWithin(others, e.ends[i].At-sharedWindow, e.ends[i].At+sharedWindow) >= sharedEnds
+		window := sharedWindow
+		if e.ends[i].Silent {
+			window = silentWindow
+		}
+		e.ends[i].shared = countWithin(others, e.ends[i].At-window, e.ends[i].At+window) >= sharedEnds
 	}
 	if !e.sufficient() {
 		return false
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -17,6 +17,10 @@
 // have been at the same time. Segments that were in the same requests each time cannot be told
 // apart; only requests with all of them are refused.
 //
+// An upstream that falls silent has ended, as far as other daemons can tell too. Its end counts if
+// the upstream is known to have sent something just before or after the request was sent; it is
+// withdrawn as soon as the upstream sends anything again.
+//
 // The package does no I/O and takes the boot time, which also advances while the VM is
 // suspended, as an argument.
 package quarantine
@@ -191,6 +195,27 @@
 	})
 }
 
+// HasSilentEnds reports whether an upstream fell silent under a request with one of the subjects.
+func (t *Table) HasSilentEnds(subjects []Subject) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(subjects, func(s Subject) bool {
+		e := t.suspects[s.Hash()]
+		return e != nil && slices.ContainsFunc(e.ends, func(o End) bool { return o.Silent && !o.Withdrawn })
+	})
+}
+
+// Withdraw records that an upstream that had fallen silent has sent something.
+func (t *Table) Withdraw(upstream uint64, now time.Duration) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []Change
+	for _, e := range t.suspects {
+		changes = append(changes, e.withdraw(upstream, now)...)
+	}
+	return changes
+}
+
 // Ended records that an upstream ended under a request with the given subjects. It reports
 // whether one of them may well be the cause, so that the request must not be sent again, and
 // the effect on each.
@@ -267,7 +292,9 @@
 }
 
 // hasEvidence reports whether there is evidence against the segment or it is in quarantine.
-func (e *suspect) hasEvidence() bool { return len(e.ends) > 0 || e.since > 0 }
+func (e *suspect) hasEvidence() bool {
+	return e.since > 0 || slices.ContainsFunc(e.ends, func(o End) bool { return !o.Withdrawn })
+}
 
 // evict drops the entry with the least evidence that is not in quarantine, and reports
 // whether there was one. The caller holds mu.
@@ -387,7 +414,7 @@
 			s := e.statement(now)
 			s.Ends, s.Cleared = nil, false
 			list = append(list, s)
-		case len(e.ends) > 0:
+		case e.hasEvidence():
 			suspected++
 		}
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -427,3 +427,67 @@
 		assert.Assert(t, len(f.pass(6*time.Second)) == 0)
 	}
 }
+
+// silentEnd records that one upstream fell silent under a request that was sent 200 ms before.
+func (f *fixture) silentEnd(doubtful bool, subjects []Subject) uint64 {
+	f.next++
+	f.Ended(subjects, End{Upstream: f.next, SentAt: f.now - 200*time.Millisecond, At: f.now, Stage: BeforeHead, Silent: true, Doubtful: doubtful}, f.now)
+	return f.next
+}
+
+// TestSilentUpstreamsAreEvidence guards against a request that is never quarantined because its
+// upstreams fall silent, and against one that is for upstreams that may have been silent before.
+func TestSilentUpstreamsAreEvidence(t *testing.T) {
+	for _, doubtful := range []bool{false, true} {
+		f := newFixture()
+		for range 4 {
+			f.silentEnd(doubtful, request(77))
+			f.pass(time.Second)
+		}
+		f.pass(2 * time.Second)
+		assert.Equal(t, f.Check(request(77), unknown, f.now) != nil, !doubtful)
+		assert.Assert(t, f.HasSilentEnds(request(77)), "it goes only to upstreams that respond")
+	}
+}
+
+// TestReturnedUpstreamsAreNoEvidence guards against blaming a request for upstreams that were frozen
+// for a while, also if a daemon learns of their silence after it learned that they returned.
+func TestReturnedUpstreamsAreNoEvidence(t *testing.T) {
+	f, other, late, source := newFixture(), newFixture(), newFixture(), newFixture()
+	for range 3 {
+		u := f.silentEnd(false, request(77))
+		other.now, late.now, source.now = f.now, f.now, f.now
+		source.silentEnd(false, request(77))
+		stale := source.Statements(true, f.now)
+		f.Withdraw(u, f.now)
+		other.Merge(f.Statements(true, f.now), f.now)
+		other.Merge(stale, f.now)
+		late.Merge(stale, f.now)
+		f.pass(time.Second)
+	}
+	for i, x := range []*fixture{f, other} {
+		x.now = f.now
+		x.pass(3 * time.Second)
+		assert.Assert(t, x.Check(request(77), unknown, x.now) == nil, "daemon %d", i)
+		assert.Assert(t, !x.HasEvidence(request(77)))
+	}
+	late.now = f.now
+	late.pass(3 * time.Second)
+	assert.Assert(t, late.Check(request(77), unknown, late.now) != nil, "it learned of the silence only")
+	late.Merge(f.Statements(true, late.now), late.now)
+	assert.Assert(t, late.Check(request(77), unknown, late.now) == nil, "released")
+}
+
+// TestUpstreamEndsAfterItsReturn checks that an upstream that was silent, returned and then crashed
+// under the request is evidence.
+func TestUpstreamEndsAfterItsReturn(t *testing.T) {
+	f := newFixture()
+	for range 3 {
+		f.Withdraw(f.silentEnd(false, request(77)), f.now)
+		f.pass(4 * time.Second)
+		f.Ended(request(77), End{Upstream: f.next, SentAt: f.now - 100*time.Millisecond, At: f.now, Stage: BeforeHead}, f.now)
+		f.pass(time.Second)
+	}
+	f.pass(2 * time.Second)
+	assert.Assert(t, f.Check(request(77), unknown, f.now) != nil)
+}
--- a/internal/standin/site/crash.go
+++ b/internal/standin/site/crash.go
@@ -45,7 +45,7 @@
 // End ends the upstream as a crash does.
 func (u *Upstream) End() {
 	u.mu.Lock()
-	ended, onEnd := !u.endedAt.IsZero(), u.onEnd
+	ended, onEnd, dark := !u.endedAt.IsZero(), u.onEnd, u.darkEnd
 	if !ended {
 		u.endedAt = time.Now()
 	}
@@ -53,7 +53,11 @@
 	if ended {
 		return
 	}
-	u.Close()
+	if dark {
+		u.GoDark()
+	} else {
+		u.Close()
+	}
 	if onEnd != nil {
 		onEnd(u)
 	}
@@ -85,6 +89,7 @@
 	}
 	time.Sleep(crashDelay)
 	u.End()
+	u.gate.wait(u.closed)
 	panic(http.ErrAbortHandler) // without it the server would complete the response
 }
 
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -67,6 +67,7 @@
 	loseResponses bool          // writes are executed but get no response
 	delay         time.Duration // before each call is executed
 	rate          int           // bytes of responses per second, of each connection; 0 for no limit
+	links         map[string]*Link
 }
 
 // Listen serves the store at a free loopback address.
@@ -82,7 +83,10 @@
 }
 
 // listen serves h at a free loopback address and returns the address.
-func listen(h http.Handler) (string, *http.Server, error) {
+func listen(h http.Handler) (string, *http.Server, error) { return listenThrough(h, nil) }
+
+// listenThrough is listen through a gate; nil for none.
+func listenThrough(h http.Handler, g *gate) (string, *http.Server, error) {
 	address, err := loopback.Address()
 	if err != nil {
 		return "", nil, err
@@ -91,6 +95,9 @@
 	if err != nil {
 		return "", nil, errors.Wrap(err, "listen on loopback address")
 	}
+	if g != nil {
+		l = gatedListener{l, g}
+	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }()
 	return address, server, nil
@@ -187,7 +194,7 @@
 		if lost && r.Method == http.MethodPost {
 			panic(http.ErrAbortHandler)
 		}
-		encoded, err := json.Marshal(body)
+		encoded, err := json.Marshal(e.linked(body))
 		if err != nil {
 			panic(err) // the stand-in's own types
 		}
--- a/internal/standin/site/upstream.go
+++ b/internal/standin/site/upstream.go
@@ -86,6 +86,12 @@
 	crashPoint    int       // see AfterHead
 	endedAt       time.Time // zero unless it has ended
 	onEnd         func(u *Upstream)
+	darkEnd       bool // see SetDarkEnd
+	checks        int
+
+	gate      gate
+	closeOnce sync.Once
+	closed    chan struct{} // closed by Close
 }
 
 // Seal is the value of X-Response-Seal. Streams append a dot and the upstream's ID.
@@ -93,14 +99,17 @@
 
 // StartUpstream starts an upstream that listens at a free loopback address.
 func StartUpstream(id string) (*Upstream, error) {
-	u := &Upstream{ID: id, events: 6}
+	u := &Upstream{ID: id, events: 6, closed: make(chan struct{})}
 	var err error
-	u.Address, u.server, err = listen(http.HandlerFunc(u.serve))
+	u.Address, u.server, err = listenThrough(http.HandlerFunc(u.serve), &u.gate)
 	return u, err
 }
 
 // Close closes the listener and all connections.
-func (u *Upstream) Close() { _ = u.server.Close() }
+func (u *Upstream) Close() {
+	u.closeOnce.Do(func() { close(u.closed) })
+	_ = u.server.Close()
+}
 
 // SetHeader adds a header field to all further responses, in place of the field set
 // before.
@@ -183,6 +192,9 @@
 }
 
 func (u *Upstream) serve(w http.ResponseWriter, req *http.Request) {
+	if u.serveCheck(w, req) {
+		return
+	}
 	fault := u.nextFault()
 	u.mu.Lock()
 	maps.Copy(w.Header(), u.header)
