Checks of silent upstreams do not wait for calls to the store

While the store did not answer, silent upstreams were found late: housekeeping called the store, up to 500 ms a call, before its next round of checks, and a round that comes that late counts as a suspension of the daemon.

The checks and the quarantine's decisions have a loop of their own.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -363,6 +363,7 @@
 	g.Go(func() error { return n.server.Run(n.CallerAddress) })
 	g.Go(func() error { return n.serveStatus(servicesCtx) })
 	g.Go(func() error { n.runHousekeeping(servicesCtx); return nil })
+	g.Go(func() error { n.runQuarantine(servicesCtx); return nil })
 	dutyEnded := make(chan struct{})
 	g.Go(func() error {
 		defer close(dutyEnded)
@@ -398,8 +399,6 @@
 		case <-ticker.C:
 		}
 		n.updateCounts()
-		n.silence.tick(ctx)
-		n.quarantine.tick()
 		n.rollouts.tick()
 		for _, name := range n.mesh.Unreachable() {
 			n.quota.DropDemand(name)
