Tests: a free address is not held by a process that is being started

Address listens to find a free port and closes the listener; a child that was forked in between has a copy of it until it executes its program. Forks now wait.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -23,6 +24,9 @@
 
 // Address returns a host:port on which nothing listens. It is safe for concurrent use.
 func Address() (string, error) {
+	// A process that is being started has the listener open too, until it executes its program.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	pid := os.Getpid()
 	for range maxHost {
 		host := 1 + hostCounter.Add(1)%maxHost
