Evidence against requests and segments outlives the loss of all daemons

A request, or a prompt segment, that ends each upstream which runs it went on for ever if all daemons were killed before the third end since their last loss: callers got 502, and an upstream was lost each time.

Cause: only quarantines were stored (node.writeRows). Evidence that did not suffice yet was in memory and in the messages between daemons, so the loss of all of them began the count at zero.

Now one daemon writes the evidence that all have into one row: within 0.2 s of learning it, at most once a second, at most 512 subjects and 32 KiB. It reads the row before and adds what another daemon wrote. Each daemon reads it once after its start, before it is ready, unless the store does not answer. Ages are by the store's clock, so an end counts for ten minutes in all. Whole responses that arrive before the row is read void what is in it. The row is rewritten as soon as evidence is void, compared with the store every 30 s, and removed when none is left. Evidence from the store alone refuses nothing: a daemon must have witnessed one of the ends, since a response may have voided the others in the last second.

--- a/internal/mesh/suspects.go
+++ b/internal/mesh/suspects.go
@@ -16,7 +16,7 @@
 			TrialAgeMs: s.TrialAge.Milliseconds(), Confirmed: s.Confirmed, Software: s.Software, Companions: s.Companions,
 			Survived: s.Survived, SurvivalAgeMs: s.SurvivalAge.Milliseconds(), ProgressMs: s.Progress.Time.Milliseconds(), Events: uint32(s.Progress.Events)}
 		for _, e := range s.Ends {
-			end := &meshpb.UpstreamEnd{Upstream: e.Upstream, SentAgeMs: uint32(e.SentAge.Milliseconds()), AgeMs: uint32(e.Age.Milliseconds())}
+			end := &meshpb.UpstreamEnd{Upstream: e.Upstream, SentAgeMs: uint32(e.SentAge.Milliseconds()), AgeMs: uint32(e.Age.Milliseconds()), Stored: e.Stored}
 			if e.Silent {
 				end.BeforeHead, end.Doubtful, end.Withdrawn = e.Stage == quarantine.BeforeHead, e.Doubtful, e.Withdrawn
 				end.AfterEvent, end.ProgressMs, end.Events = e.Stage == quarantine.AfterEvent, uint32(e.Progress.Time.Milliseconds()), uint32(e.Progress.Events)
@@ -75,7 +75,7 @@
 }
 
 func decodeEnd(e *meshpb.UpstreamEnd, stage quarantine.Stage) quarantine.EndAge {
-	return quarantine.EndAge{Upstream: e.Upstream, SentAge: millis(int64(e.SentAgeMs)), Age: millis(int64(e.AgeMs)), Stage: stage,
+	return quarantine.EndAge{Upstream: e.Upstream, Stored: e.Stored, SentAge: millis(int64(e.SentAgeMs)), Age: millis(int64(e.AgeMs)), Stage: stage,
 		Progress: quarantine.Progress{Time: millis(int64(e.ProgressMs)), Events: int(e.Events)}}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,6 +140,7 @@
 	throttle     *upstreamThrottle
 	quarantine   *segmentQuarantine
 	silence      *silenceMonitor
+	evidence     *evidenceStore
 	retryBudget  *proxy.RetryBudget
 	workMeter    *proxy.WorkMeter
 	shares       *admission.Shares
@@ -190,6 +191,7 @@
 	n.throttle = newUpstreamThrottle(n)
 	n.quarantine = newSegmentQuarantine(n)
 	n.silence = newSilenceMonitor(n)
+	n.evidence = &evidenceStore{node: n}
 	n.retryBudget.AskHub = n.limiter.askHubRetry
 	n.rollouts = newRollouts(n)
 	n.grace.Store(int64(s.Grace))
@@ -338,7 +340,7 @@
 
 // Ready reports whether the load balancer should send callers to this daemon.
 func (n *Node) Ready() bool {
-	return !n.stopping.Load() && n.proxy.Catalog() != nil && n.roster.anyUsable() && n.segmentsKnown()
+	return !n.stopping.Load() && n.proxy.Catalog() != nil && n.roster.anyUsable() && n.segmentsKnown() && n.evidence.isKnownOrAway()
 }
 
 // Run serves until ctx ends, then drains and returns. It returns an error if it cannot
@@ -354,6 +356,7 @@
 		go v.Run(servicesCtx) // not awaited: a read may outlast the drain and holds no resources
 	}
 	go n.runSegmentView(servicesCtx)
+	g.Go(func() error { n.evidence.run(servicesCtx); return nil })
 	if n.rollouts.enabled() {
 		go n.rolloutView.Run(servicesCtx)
 		go n.rollouts.runHolder(servicesCtx)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -75,6 +75,7 @@
 		n.throttle.writeMetrics(c)
 		n.quarantine.writeMetrics(c)
 		n.silence.writeMetrics(c)
+		n.evidence.writeMetrics(c)
 		n.writeShareMetrics(c)
 		n.rollouts.writeMetrics(c)
 		n.writeTableMetrics(c)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -31,6 +31,8 @@
 	Doubtful bool
 	// Withdrawn is set if a silent upstream has sent something since.
 	Withdrawn bool
+	// Stored is set if all that is known of the end was read from the store.
+	Stored bool
 
 	shared bool // something else ended several upstreams at the time
 }
@@ -54,6 +56,7 @@
 	}
 	m.Silent = e.Silent && o.Silent
 	m.Doubtful = e.Doubtful && o.Doubtful
+	m.Stored = e.Stored && o.Stored
 	m.Withdrawn = m.Silent && (e.Withdrawn || o.Withdrawn)
 	return m
 }
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -50,6 +50,7 @@
 	Silent       bool
 	Doubtful     bool
 	Withdrawn    bool
+	Stored       bool
 }
 
 // Statements returns what to tell another daemon: all, or what changed recently and, in
@@ -105,11 +106,16 @@
 		s.TrialAge = max(now-e.trial.at, time.Millisecond)
 	}
 	for _, end := range e.ends {
-		s.Ends = append(s.Ends, EndAge{end.Upstream, now - end.SentAt, now - end.At, end.Stage, end.Progress, end.Silent, end.Doubtful, end.Withdrawn})
+		s.Ends = append(s.Ends, end.age(now))
 	}
 	return s
 }
 
+func (e End) age(now time.Duration) EndAge {
+	return EndAge{Upstream: e.Upstream, SentAge: now - e.SentAt, Age: now - e.At, Stage: e.Stage, Progress: e.Progress,
+		Silent: e.Silent, Doubtful: e.Doubtful, Withdrawn: e.Withdrawn, Stored: e.Stored}
+}
+
 // Merge adds what another daemon told, and returns what changed here.
 func (t *Table) Merge(list []Statement, now time.Duration) []Change {
 	t.mu.Lock()
@@ -154,7 +160,7 @@
 	}
 	for _, a := range s.Ends {
 		end := End{Upstream: a.Upstream, SentAt: now - a.SentAge, At: now - a.Age, Stage: a.Stage, Progress: a.Progress,
-			Silent: a.Silent, Doubtful: a.Doubtful, Withdrawn: a.Withdrawn}
+			Silent: a.Silent, Doubtful: a.Doubtful, Withdrawn: a.Withdrawn, Stored: a.Stored}
 		kind, more := e.add(end, now)
 		if kind == WasAnswered && (!s.Cleared || now-s.ClearedAge < end.At) || kind == WasOutlived && !survived.voids(end) {
 			e.changedAt = now // the other daemon must learn that its evidence is void
--- a/internal/quarantine/explain.go
+++ b/internal/quarantine/explain.go
@@ -85,8 +85,11 @@
 	for i := range e.ends {
 		e.ends[i].shared = false
 	}
-	if !e.sufficient() || len(e.ends) == maxEnds {
-		return e.sufficient()
+	if !e.sufficient() || !e.hasFresh() {
+		return false
+	}
+	if len(e.ends) == maxEnds {
+		return true
 	}
 	others := t.otherEnds(e)
 	for i := range e.ends {
@@ -104,6 +107,12 @@
 	return !late || countWithin(others, counted[0].At, counted[len(counted)-1].At) <= len(counted)
 }
 
+// hasFresh reports whether a daemon has witnessed one of the ends. What was stored may have been void by the
+// time at which all daemons ended.
+func (e *suspect) hasFresh() bool {
+	return slices.ContainsFunc(e.ends, func(o End) bool { return o.counts() && !o.Stored })
+}
+
 // countWithin returns how many of the ends are between two times.
 func countWithin(ends map[uint64]time.Duration, from, to time.Duration) (n int) {
 	for _, at := range ends {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -141,6 +141,7 @@
 	completed recentTimes         // segments of whole responses
 	answered  recentTimes         // requests with whole responses
 	outlived  recentSurvivals     // subjects of responses that go on
+	restoring bool                // see SetRestoring
 }
 
 // NewTable returns a table without evidence.
@@ -329,8 +330,10 @@
 func (t *Table) Tick(settle, now time.Duration) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.completed.rotate(now)
-	t.answered.rotate(now)
+	if !t.restoring {
+		t.completed.rotate(now)
+		t.answered.rotate(now)
+	}
 	t.outlived.rotate(now)
 	var changes []Change
 	var due, candidates []*suspect // with sufficient evidence, or in quarantine
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -491,3 +491,104 @@
 	f.pass(2 * time.Second)
 	assert.Assert(t, f.Check(request(77), unknown, f.now) != nil)
 }
+
+// storeAndLose returns a table that has only what another one stored, some time later.
+func (f *fixture) storeAndLose(after time.Duration) *fixture {
+	list := f.Evidence(maxSuspects, f.now)
+	g := newFixture()
+	g.now, g.next = f.now+after, f.next+100
+	g.MergeStored(list, after, g.now)
+	return g
+}
+
+// TestStoredEvidence guards against evidence that is lost when all daemons end before it suffices: against
+// a request and a segment, after one end and after two.
+func TestStoredEvidence(t *testing.T) {
+	for _, subjects := range [][]Subject{request(77), segments(9)} {
+		for ends := 1; ends <= 2; ends++ {
+			f := newFixture()
+			for range ends {
+				f.endAll(subjects)
+				f.pass(time.Second)
+			}
+			f = f.storeAndLose(5 * time.Second).storeAndLose(time.Second)
+			for range 3 - ends {
+				f.endAll(subjects)
+				f.pass(time.Second)
+			}
+			f.pass(2 * time.Second)
+			assert.Assert(t, f.Check(subjects, unknown, f.now) != nil, "%d stored, %v", ends, subjects)
+		}
+	}
+}
+
+// TestStoredEvidenceIsNotEnough guards against refusing a request for stored evidence alone, which a whole
+// response may have voided before it could be written, also if it comes from several daemons.
+func TestStoredEvidenceIsNotEnough(t *testing.T) {
+	f := newFixture()
+	for range 3 {
+		f.endAll(request(77))
+		f.pass(400 * time.Millisecond)
+	}
+	list := f.Evidence(maxSuspects, f.now)
+	g, h := newFixture(), newFixture()
+	for _, x := range []*fixture{g, h} {
+		x.now = f.now + time.Second
+		x.MergeStored(list, time.Second, x.now)
+		x.MergeStored(list, time.Second, x.now)
+	}
+	h.Merge(g.Statements(true, g.now), h.now)
+	for _, x := range []*fixture{g, h} {
+		x.pass(5 * time.Second)
+		assert.Assert(t, x.Check(request(77), unknown, x.now) == nil)
+		assert.Assert(t, x.HasEvidence(request(77)))
+	}
+	g.next = 100
+	g.endAll(request(77))
+	g.pass(2 * time.Second)
+	assert.Assert(t, g.Check(request(77), unknown, g.now) != nil, "one more end")
+}
+
+// TestStoredEvidenceIsVoid covers evidence that is read late: after a whole response, after its time, or from
+// a copy of the store from before the response.
+func TestStoredEvidenceIsVoid(t *testing.T) {
+	f := newFixture()
+	f.endAll(request(77, 9))
+	f.pass(time.Second)
+	list := f.Evidence(maxSuspects, f.now)
+
+	late := newFixture()
+	late.now = f.now
+	late.SetRestoring(true)
+	late.pass(5 * time.Second)
+	late.Completed(request(77, 9), late.now)
+	late.pass(time.Minute)
+	late.MergeStored(list, late.now-f.now, late.now)
+	assert.Assert(t, !late.HasEvidence(request(77, 9)))
+
+	old := newFixture()
+	old.now = f.now + evidenceTTL
+	old.MergeStored(list, evidenceTTL, old.now)
+	assert.Assert(t, !old.HasEvidence(request(77, 9)))
+
+	f.Completed(request(77, 9), f.now)
+	assert.Equal(t, len(f.Evidence(maxSuspects, f.now)), 0)
+	f.MergeStored(list, 3*time.Second, f.now)
+	assert.Assert(t, !f.HasEvidence(request(77, 9)))
+}
+
+// TestDigestIdentifiesEvidence checks that the digest changes with the evidence, and with nothing else.
+func TestDigestIdentifiesEvidence(t *testing.T) {
+	f := newFixture()
+	digest := func() uint64 { return Digest(f.Evidence(maxSuspects, f.now)) }
+	assert.Equal(t, digest(), uint64(0))
+	f.endAll(request(77, 9), request(78, 9))
+	first := digest()
+	assert.Assert(t, first != 0)
+	f.pass(time.Second)
+	assert.Equal(t, digest(), first)
+	f.Completed(request(78), f.now)
+	assert.Assert(t, digest() != first)
+	g := f.storeAndLose(time.Second)
+	assert.Equal(t, Digest(g.Evidence(maxSuspects, g.now)), digest())
+}
