A check that is answered at once asks no other daemon

Each check of an upstream that works slowly on one request cost a question to another daemon and that daemon's check too. Now the question follows after 50 ms without a response. An upstream that has announced meanwhile that it leaves is not reported. TestSilentEndsInMessages: what messages say about silent ends.

--- a/internal/mesh/quarantine_test.go
+++ b/internal/mesh/quarantine_test.go
@@ -351,3 +351,22 @@
 	t.Logf("%d suspects told in 3 s", len(told))
 	assert.Assert(t, len(told) > 256)
 }
+
+// TestSilentEndsInMessages checks that silent ends reach daemons as they are, in a field that older builds
+// ignore.
+func TestSilentEndsInMessages(t *testing.T) {
+	s := quarantine.Statement{Subject: quarantine.Subject{Service: "s", ID: 7, Request: true}}
+	for i, stage := range []quarantine.Stage{quarantine.BeforeHead, quarantine.BeforeEvent, quarantine.AfterEvent} {
+		p := quarantine.Progress{}
+		if stage == quarantine.AfterEvent {
+			p = quarantine.Progress{Time: 100 * time.Millisecond, Events: 3}
+		}
+		for flags := range 8 {
+			s.Ends = append(s.Ends, quarantine.EndAge{Upstream: uint64(8*i + flags), SentAge: 3 * time.Second, Age: 2 * time.Second, Stage: stage, Progress: p,
+				Silent: true, Doubtful: flags&1 > 0, Withdrawn: flags&2 > 0, Stored: flags&4 > 0})
+		}
+	}
+	list := EncodeSuspects([]quarantine.Statement{s})
+	assert.DeepEqual(t, DecodeSuspects(list), []quarantine.Statement{s})
+	assert.Equal(t, len(list[0].Ends)+len(list[0].FurtherEnds), 0)
+}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -177,7 +177,7 @@
 
 // Responds implements proxy.Quarantine.
 func (q *segmentQuarantine) Responds(ctx context.Context, u *roster.Upstream, subjects []quarantine.Subject) bool {
-	return !q.table.HasSilentEnds(subjects) || q.node.silence.mayGet(ctx, u)
+	return !q.table.HasSilentEnds(subjects) || q.node.silence.respondsNow(ctx, u)
 }
 
 func (q *segmentQuarantine) logNoEvidence(b proxy.BrokenAnswer, reason string) {
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -28,6 +28,9 @@
 	// checkTimeout bounds a check whether an upstream responds. Its callers wait for the check
 	// if other upstreams fell silent under their request.
 	checkTimeout = 300 * time.Millisecond
+	// askDelay is the time after which another daemon is asked about an upstream that has not
+	// responded to a check yet.
+	askDelay = 50 * time.Millisecond
 	// maxChecks bounds the checks at the same time.
 	maxChecks = 32
 	// checkAge is how long the outcome of a check is used for other daemons' questions.
@@ -93,10 +96,16 @@
 
 // check finds out whether an upstream has ended, and records that.
 func (m *silenceMonitor) check(ctx context.Context, u *roster.Upstream) {
-	asked := make(chan testimony, 1)
-	go func() { asked <- m.ask(ctx, u) }()
-	r := m.probe(ctx, u)
-	t := <-asked
+	var t testimony
+	probed := make(chan response, 1)
+	go func() { probed <- m.probe(ctx, u) }()
+	var r response
+	select {
+	case r = <-probed:
+	case <-time.After(askDelay):
+		t = m.ask(ctx, u)
+		r = <-probed
+	}
 	lost := m.lostEntry(u)
 	switch {
 	case r == refuses:
@@ -116,6 +125,9 @@
 // report records the end of an upstream under the requests that wait for it. onlySilent is set if
 // it may send something again.
 func (m *silenceMonitor) report(u *roster.Upstream, receivedAt time.Duration, onlySilent bool) {
+	if entry := m.lookup(u.ID); entry != nil && entry.Leaving {
+		return
+	}
 	list := m.watch.Take(u.Key(), receivedAt, boottime.Now())
 	if len(list) > 0 {
 		m.reported.Add(1)
@@ -123,7 +135,7 @@
 	for _, w := range list {
 		w.End.Upstream = throttle.Hash(u.Key())
 		w.End.Silent = onlySilent || w.End.Doubtful
-		if w.Left || u.Leaving {
+		if w.Left {
 			m.node.log.Info("silent upstream is no evidence", "upstream", u.ID, "id", w.ID, "reason", "it has left")
 			continue
 		}
@@ -157,7 +169,7 @@
 	defer func() { _ = c.Close() }()
 	catalog := m.node.proxy.Catalog()
 	if catalog == nil || catalog.Services[u.Service] == nil {
-		return responds
+		return responds // it accepts connections, and nothing else is known about its service
 	}
 	_ = c.SetDeadline(time.Now().Add(checkTimeout))
 	if _, err = c.Write(m.node.EncodeCheck(catalog.Services[u.Service], u)); err != nil {
@@ -264,8 +276,8 @@
 	return nil
 }
 
-// mayGet reports whether an upstream sends, as far as is known or a check shows.
-func (m *silenceMonitor) mayGet(ctx context.Context, u *roster.Upstream) bool {
+// respondsNow reports whether an upstream has just sent something, or responds to a check.
+func (m *silenceMonitor) respondsNow(ctx context.Context, u *roster.Upstream) bool {
 	if boottime.Now()-m.watch.LastReceived(u.Key()) < silence.Fresh || m.probe(ctx, u) == responds {
 		return true
 	}
