--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -344,6 +344,18 @@
 	return s.Put(table, key, data)
 }
 
+// Keys returns the keys of the rows of a table.
+func (s *Store) Keys(table string) (keys []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, row := range s.rows {
+		if id.table == table && !row.Removed {
+			keys = append(keys, id.key)
+		}
+	}
+	return keys
+}
+
 // Remove removes a row of the empty partition without a precondition.
 func (s *Store) Remove(table, key string) {
 	s.mu.Lock()
