--- a/internal/node/evidence.go
+++ b/internal/node/evidence.go
@@ -30,7 +30,7 @@
 	evidenceRefresh = 30 * time.Second
 	// evidenceReadPause is the time between two attempts to read the row after the start.
 	evidenceReadPause = time.Second
-	// maxStoredSuspects and maxEvidenceBytes bound the row.
+	// maxStoredSuspects and maxEvidenceBytes bound the row. A store may limit rows to 64 KiB.
 	maxStoredSuspects = 512
 	maxEvidenceBytes  = 32 << 10
 	// evidenceKnownFor is how long after the last evidence there may be a row. Ends count for ten minutes.
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -96,22 +96,22 @@
 
 // check finds out whether an upstream has ended, and records that.
 func (m *silenceMonitor) check(ctx context.Context, u *roster.Upstream) {
-	var t testimony
+	var p peerReport
 	probed := make(chan response, 1)
 	go func() { probed <- m.probe(ctx, u) }()
 	var r response
 	select {
 	case r = <-probed:
 	case <-time.After(askDelay):
-		t = m.ask(ctx, u)
+		p = m.ask(ctx, u)
 		r = <-probed
 	}
 	lost := m.lostEntry(u)
 	switch {
 	case r == refuses:
-		m.report(u, t.receivedAt, lost)
-	case r == silent && (t.silence == meshpb.Silence_SILENT || lost):
-		m.report(u, t.receivedAt, true)
+		m.report(u, p.receivedAt, lost)
+	case r == silent && (p.silence == meshpb.Silence_SILENT || lost):
+		m.report(u, p.receivedAt, true)
 	}
 }
 
@@ -188,8 +188,8 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// testimony is what another daemon knows about an upstream.
-type testimony struct {
+// peerReport is what another daemon knows about an upstream.
+type peerReport struct {
 	silence    meshpb.Silence
 	receivedAt time.Duration // boot time; 0 if unknown
 }
@@ -199,28 +199,28 @@
 const witnessPause = checkTimeout + 50*time.Millisecond
 
 // ask asks another daemon whether an upstream responds to it.
-func (m *silenceMonitor) ask(ctx context.Context, u *roster.Upstream) (t testimony) {
+func (m *silenceMonitor) ask(ctx context.Context, u *roster.Upstream) (p peerReport) {
 	hash := throttle.Hash(u.Key())
 	address := m.node.mesh.Witness(hash, int(m.checks.Load()))
 	if address == "" {
-		return t
+		return p
 	}
 	for range 2 {
 		a, err := m.node.mesh.AskDaemon(ctx, address, &meshpb.Question{Silent: hash})
 		if err != nil {
 			m.node.log.Info("no answer about a silent upstream", "upstream", u.ID, "daemon", address, "error", err)
-			return t
+			return p
 		}
-		t.silence = a.Silence
+		p.silence = a.Silence
 		if a.ReceivedAgeMs > 0 {
-			t.receivedAt = boottime.Now() - time.Duration(a.ReceivedAgeMs)*time.Millisecond
+			p.receivedAt = boottime.Now() - time.Duration(a.ReceivedAgeMs)*time.Millisecond
 		}
-		if t.silence != meshpb.Silence_UNKNOWN {
-			return t
+		if p.silence != meshpb.Silence_UNKNOWN {
+			return p
 		}
 		time.Sleep(witnessPause)
 	}
-	return t
+	return p
 }
 
 // answer answers another daemon's question whether an upstream responds. Without a recent response
--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -77,7 +77,7 @@
 	checkAt    time.Duration // of the next check
 	goneAt     time.Duration // when its entry was found to be missing; 0 while it is there
 	reportedAt time.Duration // 0 if it was not reported
-	returns    int           // checks since then
+	checks     int           // since then
 	returnedAt time.Duration // first bytes since then
 }
 
@@ -253,8 +253,8 @@
 		}
 		return true
 	}
-	if s.returns < returnChecks && now >= s.checkAt {
-		s.returns++
+	if s.checks < returnChecks && now >= s.checkAt {
+		s.checks++
 		s.checkAt = now + returnInterval
 		a.Check = append(a.Check, s.info)
 	}
@@ -312,7 +312,7 @@
 		list = append(list, Waiting{Request: x.Request, End: x.end(last), Left: s.goneAt > 0 && last > s.goneAt})
 	}
 	if len(list) > 0 && s.reportedAt == 0 {
-		s.reportedAt, s.returns, s.returnedAt, s.checkAt = now, 0, 0, now+returnInterval
+		s.reportedAt, s.checks, s.returnedAt, s.checkAt = now, 0, 0, now+returnInterval
 	}
 	return list
 }
