--- a/internal/standin/site/dark.go
+++ b/internal/standin/site/dark.go
@@ -74,6 +74,14 @@
 	return c.Conn.Write(b)
 }
 
+// CloseWrite ends the sending side, as the HTTP server does before it closes a connection with unread bytes.
+func (c *gatedConn) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
+
 func (c *gatedConn) Close() error {
 	c.once.Do(func() { close(c.ended) })
 	return c.Conn.Close()
--- a/internal/standin/site/early.go
+++ b/internal/standin/site/early.go
@@ -60,6 +60,9 @@
 		return true
 	}
 	defer conn.Close()
+	if gated, ok := conn.(*gatedConn); ok {
+		conn = gated.Conn
+	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return true
